--- /dev/null
+++ b/crates/stepspur-wirehost/src/main.rs
@@ -0,0 +1,88 @@
+//! Hosts the decision module on the simulator wire: batches on standard input, replies on standard output.
+//!
+//! One [`Policy`] per instance and nothing shared. Malformed input ends the program with one plain line on
+//! standard error and exit code 2; the end of input between batches ends it with 0.
+#![forbid(unsafe_code)]
+
+use std::collections::BTreeMap;
+use std::io::{self, BufReader, Read, Write};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::process::ExitCode;
+
+use stepspur::Policy;
+use stepspur::interface::Event;
+use stepspur_wire::{Batch, Decoder, HEADER_LEN, Record, Reply, WireError, body_len};
+
+fn main() -> ExitCode {
+    match serve(&mut BufReader::new(io::stdin().lock()), &mut io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("stepspur-wirehost: {what}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<(), Box<dyn std::error::Error>> {
+    let mut decoder = Decoder::default();
+    let mut policies = BTreeMap::new();
+    while let Some((header, body)) = read_frame(input)? {
+        let batch = decoder.decode(header, &body)?;
+        output.write_all(&answer(&mut policies, batch))?;
+        output.flush()?;
+    }
+    Ok(())
+}
+
+/// The next frame, or none at the end of input.
+fn read_frame(
+    input: &mut impl Read,
+) -> Result<Option<([u8; HEADER_LEN], Vec<u8>)>, Box<dyn std::error::Error>> {
+    let mut start = Vec::with_capacity(HEADER_LEN);
+    input.by_ref().take(HEADER_LEN as u64).read_to_end(&mut start)?;
+    if start.is_empty() {
+        return Ok(None);
+    }
+    let Ok(header) = <[u8; HEADER_LEN]>::try_from(start.as_slice()) else {
+        return Err(WireError::CutShort { have: start.len(), want: HEADER_LEN }.into());
+    };
+    let want = body_len(header);
+    let mut body = Vec::new();
+    input.by_ref().take(want as u64).read_to_end(&mut body)?;
+    if body.len() < want {
+        return Err(WireError::CutShort { have: body.len(), want }.into());
+    }
+    Ok(Some((header, body)))
+}
+
+/// Hands each instance its events, lets it decide once, and gives the reply.
+fn answer(policies: &mut BTreeMap<u32, Policy>, batch: Batch) -> Vec<u8> {
+    let mut told: BTreeMap<u32, Vec<Event>> = BTreeMap::new();
+    for (instance, record) in batch.records {
+        match record {
+            Record::Provision { seed, settings } => {
+                policies.insert(instance, Policy::new(*settings, seed, batch.clock));
+                told.insert(instance, Vec::new());
+            }
+            Record::Halt => {
+                policies.remove(&instance);
+                told.remove(&instance);
+            }
+            Record::Event(event) => told.entry(instance).or_default().push(event),
+        }
+    }
+    let mut reply = Reply::default();
+    for (instance, events) in told {
+        let Some(policy) = policies.get_mut(&instance) else { continue };
+        match catch_unwind(AssertUnwindSafe(|| policy.decide(batch.clock, &events))) {
+            Ok(actions) => reply.speak(instance, &actions),
+            Err(panic) => {
+                policies.remove(&instance);
+                let what = panic.downcast_ref::<String>().map(String::as_str);
+                let what = what.or(panic.downcast_ref::<&str>().copied());
+                reply.internal_error(instance, what.unwrap_or("panic without text"));
+            }
+        }
+    }
+    reply.into_bytes(batch.number)
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,774 @@
+//! Every decision of stepspur. The types that it takes and gives are in `src/interface.rs`.
+//!
+//! Read top-down: [`Policy::decide`] takes a batch of events and the clock, learns from the events, judges
+//! the servers' health, cuts the zone tables of docs/design.md and sends what has changed.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::*;
+
+/// Zone tables come on at this many servers a zone, and go off at `ZONED_OFF`: the gap stops flapping.
+const ZONED_ON: usize = 4;
+const ZONED_OFF: usize = 2;
+/// A zone borrows when it expects this many times the servers it has (the talk's 25%).
+const OVERLOAD: f64 = 1.25;
+/// A lent server goes home when the borrower does without it at this ratio: well under `OVERLOAD`.
+const RETURN: f64 = 1.05;
+/// Slow start: a tenth of the weight, full after ten seconds.
+const START_SHARE: f64 = 0.1;
+const RAMP: Micros = 10_000_000;
+/// Ramp and level steps smaller than this are not worth a message.
+const STEP: f64 = 0.08;
+/// Part of the fall budget that a cold server may be given; the rest is for chance and client repeats.
+const COLD_MARGIN: f64 = 0.6;
+/// The module looks at the clock this often without events.
+const TICK: Micros = 250_000;
+/// Spans between probes of a server in good standing and of one under suspicion.
+const PROBE_EVERY: Micros = 1_000_000;
+const PROBE_SUSPECT: Micros = 400_000;
+/// Probes failed or answered in a row that take a server out or bring it back.
+const PROBES_OUT: u32 = 2;
+const PROBES_BACK: u32 = 2;
+/// Tries needed to judge a server by tallies, and the failing share that condemns it.
+const MIN_TRIES: f64 = 5.0;
+const BAD_SHARE: f64 = 0.35;
+/// A server is an outlier only at this many times the failing share of the fleet.
+const OUTLIER: f64 = 2.5;
+/// Evidence from tallies halves over this span.
+const EVIDENCE_HALF: f64 = 2_500_000.0;
+/// A withdrawn server is tried again after this long, doubling each time up to the cap.
+const HOLD: Micros = 4_000_000;
+const HOLD_MAX: Micros = 30_000_000;
+/// Load shares are smoothed with this weight for a new report.
+const SHARE_GAIN: f64 = 0.3;
+/// A proxy that left keeps its load this long: it goes on sending by its tables.
+const LEFT_KEEPS: Micros = 20_000_000;
+/// No lending so soon after the start: the first joins and reports say little of the zones' shares.
+const SETTLE: Micros = 2_500_000;
+/// Span between ordinary changes to a table where messages are not limited.
+const TURN: Micros = 500_000;
+/// Parts of the message limit open to ordinary changes and to withdrawals; drains may use it all.
+const CALM_PART: f64 = 0.5;
+const FAULT_PART: f64 = 0.75;
+/// Part of the channel's limit that may be filled; ordinary changes wait at `CALM_PART` of it.
+const PENDING_PART: f64 = 0.9;
+/// Mean answer time, against the shortest aim, above which load is shed and below which it is let in.
+const HOT: f64 = 0.8;
+const COOL: f64 = 0.6;
+/// Steps of shedding and of letting in again, and the least share of a class that is let in.
+const SHED_STEP: f64 = 0.12;
+const ADMIT_STEP: f64 = 0.06;
+const LEAST_LEVEL: f64 = 0.15;
+/// Beyond this much shedding, proxies stop repeating what may have run.
+const RETRY_UNTIL: f64 = 0.05;
+/// A rate that lets everything in.
+const OPEN_RATE: f64 = 1e6;
+/// Spans before discovery is asked again after a failure (doubling) or without an answer.
+const ASK_AGAIN: Micros = 500_000;
+const ASK_MAX: Micros = 4_000_000;
+const ASK_LOST: Micros = 6_000_000;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    Calm,
+    Fault,
+    Drain,
+}
+
+struct Server {
+    listed: ListEntry,
+    /// The zone whose table holds it.
+    home: ZoneId,
+    ramp_from: Micros,
+    next_probe: Micros,
+    probe_out: bool,
+    fails: u32,
+    oks: u32,
+    down: bool,
+}
+
+/// What the proxies of one zone met at one server.
+#[derive(Default)]
+struct Link {
+    tries: f64,
+    errors: f64,
+    at: Micros,
+    out_until: Option<Micros>,
+    strikes: u32,
+}
+
+struct Proxy {
+    zone: ZoneId,
+    joined: bool,
+    left_at: Micros,
+    listed_rate: f64,
+    rates: BTreeMap<ClassId, f64>,
+    bound: Option<TableId>,
+    messages: VecDeque<Micros>,
+}
+
+#[derive(Default)]
+struct Table {
+    lines: BTreeMap<ServerId, f64>,
+    levels: BTreeMap<ClassId, (Resend, f64)>,
+    sent_at: Micros,
+}
+
+/// One conductor's decisions.
+pub struct Policy {
+    set: Settings,
+    now: Micros,
+    started: Micros,
+    next_tick: Micros,
+    servers: BTreeMap<ServerId, Server>,
+    links: BTreeMap<(ServerId, ZoneId), Link>,
+    proxies: BTreeMap<ProxyId, Proxy>,
+    tables: BTreeMap<TableId, Table>,
+    slices: BTreeMap<TableId, Micros>,
+    zoned: bool,
+    backlog: f64,
+    drained_at: Micros,
+    shed: f64,
+    shed_at: Micros,
+    answered: f64,
+    answer_time: f64,
+    ask_at: Option<Micros>,
+    ask_wait: Micros,
+    out: Vec<Action>,
+}
+
+impl Policy {
+    /// A conductor at its start: no list, no proxies, no tables. Nothing here needs chance yet.
+    pub fn new(set: Settings, _seed: u64, now: Micros) -> Self {
+        let ask_at = set.list_on_request.then_some(now);
+        Policy {
+            set,
+            now,
+            started: now,
+            next_tick: now,
+            servers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            tables: BTreeMap::new(),
+            slices: BTreeMap::new(),
+            zoned: false,
+            backlog: 0.0,
+            drained_at: now,
+            shed: 0.0,
+            shed_at: now,
+            answered: 0.0,
+            answer_time: 0.0,
+            ask_at,
+            ask_wait: ASK_AGAIN,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes a batch's events and clock, decides once, and gives the orders.
+    pub fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        self.now = now;
+        self.drain_channel();
+        events.iter().for_each(|event| self.learn(event));
+        self.ask_discovery();
+        self.judge();
+        self.probe();
+        self.set_shedding();
+        if self.set.slices > 0 {
+            self.place_slices();
+        } else {
+            self.cut_zones();
+            self.publish();
+        }
+        if now >= self.next_tick {
+            self.next_tick = now + TICK;
+            self.out.push(Action::Wake { after: TICK, token: 0 });
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    // ---- what events tell
+
+    fn learn(&mut self, event: &Event) {
+        match event {
+            Event::List { how, entries } => self.learn_list(*how, entries),
+            Event::Probed { server, outcome, .. } => self.learn_probe(*server, *outcome),
+            Event::Joined { proxy, zone, rate, .. } => self.learn_join(*proxy, *zone, *rate),
+            Event::Left { proxy } => {
+                if let Some(p) = self.proxies.get_mut(proxy) {
+                    (p.joined, p.left_at, p.bound) = (false, self.now, None);
+                }
+            }
+            Event::Tally { server, zone, total, errors, latency, .. } => {
+                self.learn_tally(*server, *zone, f64::from(*total), f64::from(*errors), *latency as f64);
+            }
+            Event::Traffic { proxy, class, period, total, .. } if *period > 0 => {
+                if let Some(p) = self.proxies.get_mut(proxy) {
+                    let seen = f64::from(*total) * 1e6 / *period as f64;
+                    let rate = p.rates.entry(*class).or_insert(seen);
+                    *rate += SHARE_GAIN * (seen - *rate);
+                }
+            }
+            Event::Mandate { slice, given } => {
+                self.tables.remove(slice);
+                self.slices.remove(slice);
+                if *given {
+                    self.slices.insert(*slice, self.now);
+                }
+            }
+            Event::OnRecord { slice, server, weight } if *weight > 0.0 => {
+                self.tables.entry(*slice).or_default().lines.insert(*server, *weight);
+            }
+            _ => {}
+        }
+    }
+
+    /// A failed call is no empty fleet: the old list stands, and discovery is asked again, less and less often.
+    fn learn_list(&mut self, how: ListHow, entries: &[ListEntry]) {
+        if how == ListHow::Failed {
+            self.ask_at = Some(self.now + self.ask_wait);
+            self.ask_wait = (self.ask_wait * 2).min(ASK_MAX);
+            return;
+        }
+        if how != ListHow::Cached {
+            (self.ask_at, self.ask_wait) = (None, ASK_AGAIN);
+        }
+        if how != ListHow::Delta {
+            let named: BTreeSet<_> = entries.iter().map(|e| e.server).collect();
+            for server in self.servers.values_mut().filter(|s| !named.contains(&s.listed.server)) {
+                server.listed.state = ListState::Gone;
+            }
+        }
+        let first = self.servers.is_empty();
+        for entry in entries {
+            self.learn_entry(entry, first);
+        }
+    }
+
+    fn learn_entry(&mut self, entry: &ListEntry, first: bool) {
+        let (now, cold) = (self.now, self.set.cold);
+        let mut entry = entry.clone();
+        if !(entry.weight.is_finite() && entry.weight > 0.0) {
+            entry.weight = 1.0;
+        }
+        let fresh = entry.born > 0 && entry.born + cold > now;
+        let ramp_from = if fresh { entry.born.min(now) } else { 0 };
+        if let Some(server) = self.servers.get_mut(&entry.server) {
+            if entry.born != server.listed.born {
+                server.ramp_from = ramp_from.max(server.ramp_from);
+            }
+            server.listed = entry;
+            return;
+        }
+        let home = if first { entry.zone } else { self.zone_most_short(entry.zone) };
+        let next_probe = now + (self.servers.len() as u64 * 97_000) % PROBE_EVERY;
+        let server = Server {
+            home,
+            ramp_from,
+            next_probe,
+            probe_out: false,
+            fails: 0,
+            oks: 0,
+            down: false,
+            listed: entry,
+        };
+        self.servers.insert(server.listed.server, server);
+    }
+
+    fn learn_probe(&mut self, server: ServerId, outcome: ProbeOutcome) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.probe_out = false;
+        match outcome {
+            ProbeOutcome::Ok => (s.oks, s.fails) = (s.oks + 1, 0),
+            ProbeOutcome::Full => return,
+            _ => (s.oks, s.fails) = (0, s.fails + 1),
+        }
+        let every = if s.fails > 0 || s.down { PROBE_SUSPECT } else { PROBE_EVERY };
+        s.next_probe = self.now + every;
+    }
+
+    /// A zone whose proxies were all away may have been cut off with its servers: what probes said of those
+    /// servers across the cut is no evidence for the proxies that come back.
+    fn learn_join(&mut self, proxy: ProxyId, zone: ZoneId, rate: f64) {
+        if !self.proxies.values().any(|p| p.joined && p.zone == zone) {
+            for server in self.servers.values_mut().filter(|s| s.listed.zone == zone) {
+                (server.fails, server.down) = (0, false);
+            }
+        }
+        let rates = self.proxies.remove(&proxy).map(|p| p.rates).unwrap_or_default();
+        let listed_rate = if rate.is_finite() && rate > 0.0 { rate } else { 1.0 };
+        let (joined, left_at, bound, messages) = (true, 0, None, VecDeque::new());
+        self.proxies.insert(proxy, Proxy { zone, joined, left_at, listed_rate, rates, bound, messages });
+    }
+
+    fn learn_tally(&mut self, server: ServerId, zone: ZoneId, total: f64, errors: f64, latency: f64) {
+        if !self.servers.contains_key(&server) || total <= 0.0 {
+            return;
+        }
+        let link = self.links.entry((server, zone)).or_default();
+        let keep = 0.5f64.powf((self.now - link.at) as f64 / EVIDENCE_HALF);
+        (link.tries, link.errors) = (link.tries * keep + total, link.errors * keep + errors.min(total));
+        link.at = self.now;
+        if link.out_until.is_none() {
+            let good = (total - errors).max(0.0);
+            self.answered += good;
+            self.answer_time += good * latency;
+        }
+    }
+
+    // ---- discovery
+
+    fn ask_discovery(&mut self) {
+        if self.ask_at.is_some_and(|at| self.now >= at) {
+            self.out.push(Action::Track);
+            self.ask_at = Some(self.now + ASK_LOST);
+        }
+    }
+
+    // ---- health
+
+    fn ready(&self, server: &Server) -> bool {
+        server.listed.state == ListState::Ready
+    }
+
+    fn usable(&self, server: &Server, zone: ZoneId) -> bool {
+        let out = |link: &Link| link.out_until.is_some();
+        self.ready(server) && !server.down && !self.links.get(&(server.listed.server, zone)).is_some_and(out)
+    }
+
+    fn judge(&mut self) {
+        self.judge_probes();
+        self.judge_links();
+        self.proxies.retain(|_, p| p.joined || self.now < p.left_at + LEFT_KEEPS);
+    }
+
+    /// Guards against servers that are gone, silent or cut off from here. When most of the fleet fails its
+    /// probes the fault is likely on this side, and nobody is withdrawn for it. Harm: a zone cut off together
+    /// with its proxies looks dead from here; `learn_join` mends that.
+    fn judge_probes(&mut self) {
+        let ready = self.servers.values().filter(|s| self.ready(s)).count();
+        let failing = self.servers.values().filter(|s| self.ready(s) && s.fails >= PROBES_OUT).count();
+        let trusted = failing * 2 <= ready;
+        for server in self.servers.values_mut() {
+            if server.down && (server.oks >= PROBES_BACK || !trusted) {
+                server.down = false;
+                server.ramp_from = self.now;
+                self.out.push(Action::Log(format!("return {:?}", server.listed.server)));
+            } else if !server.down && trusted && server.fails >= PROBES_OUT {
+                server.down = true;
+                self.out.push(Action::Log(format!("withdraw {:?}: probes fail", server.listed.server)));
+            }
+        }
+    }
+
+    /// Guards against servers that hang or fail for the proxies of a zone, whatever their probes say. Judged
+    /// against the fleet, so that an overload condemns nobody; at most half of a zone's servers go out.
+    fn judge_links(&mut self) {
+        let (tries, errors) = self.links.values().fold((0.0, 0.0), |(t, e), l| (t + l.tries, e + l.errors));
+        let ids: Vec<_> = self.links.keys().copied().collect();
+        for (id, zone) in ids {
+            let held = self.servers.values().filter(|s| s.home == zone && self.ready(s)).count();
+            let out = self.servers.values().filter(|s| s.home == zone && self.ready(s));
+            let out = out.filter(|s| !self.usable(s, zone)).count();
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            let Some(link) = self.links.get_mut(&(id, zone)) else { continue };
+            if let Some(until) = link.out_until {
+                if self.now >= until && server.fails == 0 {
+                    *link = Link { strikes: link.strikes, at: self.now, ..Link::default() };
+                    server.ramp_from = self.now;
+                    self.out.push(Action::Log(format!("try {id:?} again")));
+                }
+                continue;
+            }
+            let others = (errors - link.errors) / (tries - link.tries).max(1.0);
+            let share = link.errors / link.tries.max(1.0);
+            let condemned = link.tries >= MIN_TRIES && share >= BAD_SHARE && share >= OUTLIER * others;
+            if condemned && (out + 1) * 2 <= held {
+                link.out_until = Some(self.now + (HOLD << link.strikes.min(8)).min(HOLD_MAX));
+                link.strikes += 1;
+                self.out.push(Action::Log(format!("withdraw {id:?}: {share:.2} of tries fail")));
+            }
+        }
+    }
+
+    fn probe(&mut self) {
+        if !self.set.probing {
+            return;
+        }
+        for server in self.servers.values_mut() {
+            let due = self.now >= server.next_probe && !server.probe_out;
+            if due && server.listed.state == ListState::Ready {
+                server.probe_out = true;
+                self.out.push(Action::Probe { server: server.listed.server });
+            }
+        }
+    }
+
+    // ---- levels
+
+    /// Guards against real overload: answer times near the aim everywhere. Sheds the least worth first.
+    fn set_shedding(&mut self) {
+        if self.answered < 1.0 || self.now < self.shed_at + self.set.report_period.max(TURN) {
+            return;
+        }
+        let aim = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(1).max(1) as f64;
+        let heat = self.answer_time / self.answered / aim;
+        (self.answered, self.answer_time, self.shed_at) = (0.0, 0.0, self.now);
+        if heat > HOT {
+            self.shed = (self.shed + SHED_STEP).min(self.set.classes.len() as f64);
+        } else if heat < COOL {
+            self.shed = (self.shed - ADMIT_STEP).max(0.0);
+        }
+    }
+
+    /// Classes from the least worth for their work up; the aim stands in for the work.
+    fn level(&self, class: usize) -> f64 {
+        let value = |k: usize| self.set.classes[k].worth / self.set.classes[k].aim.max(1) as f64;
+        let rank = (0..self.set.classes.len()).filter(|&k| value(k) < value(class)).count() as f64;
+        (1.0 - (self.shed - rank).clamp(0.0, 1.0)).max(LEAST_LEVEL)
+    }
+
+    fn resend(&self, class: &Class) -> Resend {
+        let keyed_fits = class.group == Group::All && class.deadline <= class.window;
+        match class.effect {
+            Effect::ReadLike if self.shed < RETRY_UNTIL => Resend::Once,
+            Effect::IdempotencyKey if keyed_fits && self.shed < RETRY_UNTIL => Resend::Once,
+            _ => Resend::Unsent,
+        }
+    }
+
+    fn levels(&self, users: &[ProxyId]) -> BTreeMap<ClassId, (Resend, f64)> {
+        let mut levels = BTreeMap::new();
+        for (k, class) in self.set.classes.iter().enumerate().take(16) {
+            let id = ClassId(k as u8);
+            let mut level = self.level(k);
+            if self.set.admit == Admit::Rps {
+                let rates = users.iter().filter_map(|p| self.proxies[p].rates.get(&id));
+                let mean = rates.sum::<f64>() / users.len().max(1) as f64;
+                level = if level >= 1.0 || mean <= 0.0 { OPEN_RATE } else { level * mean };
+            }
+            levels.insert(id, (self.resend(class), level));
+        }
+        levels
+    }
+
+    // ---- zones
+
+    /// The share of its weight that a server has earned since its start or return.
+    fn ramp(&self, server: &Server) -> f64 {
+        if server.ramp_from == 0 {
+            return 1.0;
+        }
+        let age = self.now.saturating_sub(server.ramp_from) as f64 / RAMP as f64;
+        (START_SHARE + (1.0 - START_SHARE) * age).min(1.0)
+    }
+
+    /// Each zone's share of the load that our proxies report; of our joined proxies until they report.
+    fn shares(&self) -> BTreeMap<ZoneId, f64> {
+        let reported = self.proxies.values().any(|p| !p.rates.is_empty());
+        let mut load = BTreeMap::new();
+        for p in self.proxies.values() {
+            let rate = if p.rates.is_empty() { p.listed_rate } else { p.rates.values().sum() };
+            *load.entry(p.zone).or_insert(0.0) += if reported { rate } else { 1.0 };
+        }
+        let all: f64 = load.values().sum::<f64>().max(1e-9);
+        load.values_mut().for_each(|l| *l /= all);
+        load
+    }
+
+    /// Servers by zone table, a ramping one in part: a cold zone is a short zone, and borrows warm servers.
+    fn held(&self) -> BTreeMap<ZoneId, f64> {
+        let mut held = BTreeMap::new();
+        for s in self.servers.values().filter(|s| self.usable(s, s.home)) {
+            *held.entry(s.home).or_insert(0.0) += self.ramp(s);
+        }
+        held
+    }
+
+    fn expected(&self) -> BTreeMap<ZoneId, f64> {
+        let all: f64 = self.held().values().sum();
+        self.shares().into_iter().map(|(zone, share)| (zone, share * all)).collect()
+    }
+
+    /// The zone most short of its count; its own where that is as short, within a server.
+    fn zone_most_short(&self, own: ZoneId) -> ZoneId {
+        let (expected, held) = (self.expected(), self.held());
+        let short = |zone: &ZoneId| expected.get(zone).unwrap_or(&0.0) - held.get(zone).unwrap_or(&0.0);
+        let most = expected.keys().copied().max_by(|a, b| short(a).total_cmp(&short(b)));
+        most.filter(|zone| short(zone) > short(&own) + 1.0).unwrap_or(own)
+    }
+
+    fn cut_zones(&mut self) {
+        let count = self.servers.values().filter(|s| self.ready(s)).count();
+        self.zoned =
+            if self.zoned { count > ZONED_OFF * self.set.zones } else { count >= ZONED_ON * self.set.zones };
+        let own_zone_only = self.set.classes.iter().any(|c| c.own_zone);
+        if self.now < self.started + SETTLE || own_zone_only {
+            self.servers.values_mut().for_each(|s| s.home = s.listed.zone);
+            return;
+        }
+        while self.lend_one() {}
+        while self.return_one() {}
+    }
+
+    /// Moves one server into the zone most overloaded, if it is beyond the slack, from the zone with most spare.
+    fn lend_one(&mut self) -> bool {
+        let (expected, held) = (self.expected(), self.held());
+        let has = |zone: &ZoneId| held.get(zone).copied().unwrap_or(0.0);
+        let wants = |zone: &ZoneId| expected.get(zone).copied().unwrap_or(0.0);
+        let strain = |zone: &ZoneId| wants(zone) / has(zone).max(1e-3);
+        let Some(short) = expected.keys().copied().max_by(|a, b| strain(a).total_cmp(&strain(b))) else {
+            return false;
+        };
+        if strain(&short) <= OVERLOAD {
+            return false;
+        }
+        let spare = |zone: &ZoneId| has(zone) - wants(zone);
+        let lender = held.keys().copied().filter(|z| *z != short && spare(z) > 0.0);
+        let Some(lender) = lender.max_by(|a, b| spare(a).total_cmp(&spare(b))) else { return false };
+        let candidates = self.servers.values().filter(|s| s.home == lender && self.usable(s, lender));
+        let count = candidates.clone().count();
+        let pick = candidates.filter(|s| self.usable(s, short)).max_by(|a, b| {
+            let rank = |s: &Server| (s.listed.zone == short) as u8 as f64 + self.ramp(s);
+            rank(a).total_cmp(&rank(b))
+        });
+        let Some(pick) = pick.filter(|_| count > 1 || wants(&lender) == 0.0) else { return false };
+        let gain = self.ramp(pick);
+        if wants(&lender) / (has(&lender) - gain).max(1e-3) >= strain(&short) {
+            return false;
+        }
+        let id = pick.listed.server;
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.home = short;
+        }
+        true
+    }
+
+    /// Sends one lent server home, if its borrower does well without it.
+    fn return_one(&mut self) -> bool {
+        let (expected, held) = (self.expected(), self.held());
+        let spared = self.servers.values().find(|s| {
+            let has = held.get(&s.home).copied().unwrap_or(0.0) - self.ramp(s);
+            let wants = expected.get(&s.home).copied().unwrap_or(0.0);
+            s.home != s.listed.zone && (!self.usable(s, s.home) || wants / has.max(1e-3) <= RETURN)
+        });
+        let Some(id) = spared.map(|s| s.listed.server) else { return false };
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.home = server.listed.zone;
+        }
+        true
+    }
+
+    // ---- tables
+
+    fn table_of(&self, zone: ZoneId) -> TableId {
+        TableId(if self.zoned { zone.0 } else { self.set.zones as u16 })
+    }
+
+    /// The lines of a zone's table. With nobody usable the evidence is distrusted: all that are listed ready.
+    fn plan(&self, zone: ZoneId, share: f64) -> BTreeMap<ServerId, f64> {
+        let homed = |s: &&Server| !self.zoned || s.home == zone;
+        let usable = || self.servers.values().filter(|s| self.usable(s, zone));
+        let mut chosen: Vec<&Server> = usable().filter(homed).collect();
+        if chosen.is_empty() {
+            chosen = usable().collect();
+        }
+        if chosen.is_empty() {
+            chosen = self.servers.values().filter(|s| self.ready(s)).collect();
+        }
+        let earned: f64 = chosen.iter().map(|s| self.ramp(s) * s.listed.weight).sum();
+        let fleet: f64 = self.servers.values().filter(|s| self.ready(s)).map(|s| s.listed.weight).sum();
+        let push = share * fleet / earned.max(1e-9);
+        chosen.iter().map(|s| (s.listed.server, s.listed.weight * self.spared(s, push))).collect()
+    }
+
+    /// Cold budget: a server's part stays under what it can take since its start, were the fleet fully loaded.
+    /// Guards against rolling deploys and zones that come back cold. Harm: a cold zone stays slow for longer.
+    fn spared(&self, server: &Server, push: f64) -> f64 {
+        let ramp = self.ramp(server);
+        let age = self.now.saturating_sub(server.listed.born) as f64 / self.set.cold.max(1) as f64;
+        if server.listed.born == 0 || age >= 1.0 {
+            return ramp;
+        }
+        let capacity = self.set.start_capacity + (1.0 - self.set.start_capacity) * age;
+        ramp.min(COLD_MARGIN * self.set.fall_multiple * capacity / push.max(1e-9)).max(START_SHARE / 4.0)
+    }
+
+    fn publish(&mut self) {
+        if !self.servers.values().any(|s| self.ready(s)) && self.tables.is_empty() {
+            return;
+        }
+        let shares = self.shares();
+        let zones: BTreeSet<ZoneId> = self.proxies.values().filter(|p| p.joined).map(|p| p.zone).collect();
+        let mut done = BTreeSet::new();
+        for zone in zones {
+            let id = self.table_of(zone);
+            if done.insert(id) {
+                let share = if self.zoned { shares.get(&zone).copied().unwrap_or(0.0) } else { 1.0 };
+                self.publish_table(id, self.plan(zone, share));
+            }
+        }
+    }
+
+    fn publish_table(&mut self, id: TableId, plan: BTreeMap<ServerId, f64>) {
+        let users: Vec<ProxyId> =
+            self.proxies.iter().filter(|(_, p)| p.joined && p.bound == Some(id)).map(|(k, _)| *k).collect();
+        let joining: Vec<ProxyId> = self
+            .proxies
+            .iter()
+            .filter(|(_, p)| p.joined && p.bound != Some(id) && self.table_of(p.zone) == id)
+            .map(|(k, _)| *k)
+            .collect();
+        let mut everyone = users.clone();
+        everyone.extend(&joining);
+        let levels = self.levels(&everyone);
+        let (lines, urgency) = self.changes(id, &plan);
+        let table = self.tables.entry(id).or_default();
+        let size = plan.len() + levels.len() + 1;
+        let stale = |k: &ClassId, v: &(Resend, f64)| !same_level(table.levels.get(k), v);
+        let valves: Vec<_> = levels.into_iter().filter(|(k, v)| stale(k, v)).collect();
+        let (change, sent_at) = (lines.len() + valves.len(), table.sent_at);
+        if change > 0 && self.may_send(urgency, sent_at, &users, change) {
+            self.order(id, lines, valves);
+            self.charge(&users, change);
+        }
+        for proxy in joining {
+            let fresh = self.proxies[&proxy].bound.is_none();
+            let urgency = if fresh { Urgency::Drain } else { Urgency::Calm };
+            if !self.tables[&id].lines.is_empty() && self.may_send(urgency, 0, &[proxy], size) {
+                self.out.push(Action::Bind { proxy, table: id });
+                self.charge(&[proxy], size);
+                if let Some(p) = self.proxies.get_mut(&proxy) {
+                    p.bound = Some(id);
+                }
+            }
+        }
+    }
+
+    /// The lines that bring a table to its plan, removals first, and how urgent they are.
+    fn changes(&self, id: TableId, plan: &BTreeMap<ServerId, f64>) -> (Vec<(ServerId, f64)>, Urgency) {
+        let Some(Table { lines: laid, .. }) = self.tables.get(&id) else {
+            return (plan.iter().map(|(id, weight)| (*id, *weight)).collect(), Urgency::Calm);
+        };
+        let mut urgency = Urgency::Calm;
+        let mut lines = Vec::new();
+        for id in laid.keys().filter(|id| !plan.contains_key(id)) {
+            urgency = urgency.max(match self.servers.get(id) {
+                Some(s) if self.usable(s, s.home) => Urgency::Calm,
+                Some(s) if self.ready(s) => Urgency::Fault,
+                _ => Urgency::Drain,
+            });
+            lines.push((*id, 0.0));
+        }
+        let full = plan.values().copied().fold(0.0, f64::max);
+        for (id, weight) in plan {
+            let old = laid.get(id).copied().unwrap_or(0.0);
+            if old == 0.0 || (weight - old).abs() > STEP * full {
+                lines.push((*id, *weight));
+            }
+        }
+        (lines, urgency)
+    }
+
+    fn order(&mut self, id: TableId, lines: Vec<(ServerId, f64)>, valves: Vec<(ClassId, (Resend, f64))>) {
+        let table = self.tables.entry(id).or_default();
+        table.sent_at = self.now;
+        for (server, weight) in lines {
+            self.out.push(Action::Line { table: id, server, weight: weight as f32 });
+            if weight > 0.0 {
+                table.lines.insert(server, weight);
+            } else {
+                table.lines.remove(&server);
+            }
+        }
+        for (class, (resend, level)) in valves {
+            self.out.push(Action::Level { table: id, class, resend, level: level as f32 });
+            table.levels.insert(class, (resend, level));
+        }
+    }
+
+    // ---- the channel
+
+    fn drain_channel(&mut self) {
+        let sent = (self.now - self.drained_at) as f64 * 1e-6 * self.set.lines_per_s;
+        self.backlog = (self.backlog - sent).max(0.0);
+        self.drained_at = self.now;
+    }
+
+    /// Channel ledger: lines waiting and messages a proxy, with a reserve for withdrawals and drains.
+    fn may_send(&self, urgency: Urgency, sent_at: Micros, to: &[ProxyId], lines: usize) -> bool {
+        let part = match urgency {
+            Urgency::Calm => CALM_PART,
+            Urgency::Fault => FAULT_PART,
+            Urgency::Drain => 1.0,
+        };
+        let cost = to.len() as f64 * (lines as f64 + self.set.message_head);
+        if self.backlog + cost > self.set.pending_max * PENDING_PART * part && !to.is_empty() {
+            return false;
+        }
+        let limit = (f64::from(self.set.messages_max) * part).floor();
+        let since = self.now.saturating_sub(self.set.message_window);
+        let written = |p: &ProxyId| self.proxies[p].messages.iter().filter(|at| **at >= since).count() as f64;
+        if limit > 0.0 && to.iter().any(|p| written(p) >= limit) {
+            return false;
+        }
+        let turn = if limit > 0.0 { TURN.max(self.set.message_window / (limit as u64 + 1)) } else { TURN };
+        urgency != Urgency::Calm || to.is_empty() || self.now >= sent_at + turn
+    }
+
+    fn charge(&mut self, to: &[ProxyId], lines: usize) {
+        let since = self.now.saturating_sub(self.set.message_window);
+        for id in to {
+            let Some(proxy) = self.proxies.get_mut(id) else { continue };
+            proxy.messages.retain(|at| *at >= since);
+            self.backlog += lines as f64;
+            if proxy.messages.back() != Some(&self.now) {
+                proxy.messages.push_back(self.now);
+                self.backlog += self.set.message_head;
+            }
+        }
+    }
+
+    // ---- sites with slices
+
+    /// A slice keeps its server until that is lost; an exclusive one waits until the last writes are over.
+    fn place_slices(&mut self) {
+        let mut held: BTreeMap<ServerId, usize> = BTreeMap::new();
+        for table in self.tables.values() {
+            table.lines.keys().for_each(|id| *held.entry(*id).or_default() += 1);
+        }
+        let settle = if self.set.single_writer {
+            self.set.keeps_writing.max(self.set.in_flight_max) + self.set.transit_max
+        } else {
+            0
+        };
+        for (slice, free_at) in std::mem::take(&mut self.slices) {
+            let mut free_at = free_at;
+            let table = self.tables.entry(slice).or_default();
+            let servers = &self.servers;
+            let lost = |id: &ServerId| servers.get(id).is_none_or(|s| s.listed.state != ListState::Ready);
+            for id in table.lines.keys().copied().filter(lost).collect::<Vec<_>>() {
+                table.lines.remove(&id);
+                free_at = self.now;
+                self.out.push(Action::Line { table: slice, server: id, weight: 0.0 });
+            }
+            let usable = servers.values().filter(|s| s.listed.state == ListState::Ready && !s.down);
+            let best =
+                usable.min_by_key(|s| (s.ramp_from > 0, held.get(&s.listed.server).copied().unwrap_or(0)));
+            if let Some(server) = best.map(|s| s.listed.server)
+                && table.lines.is_empty()
+                && self.now >= free_at + settle
+            {
+                table.lines.insert(server, 1.0);
+                *held.entry(server).or_default() += 1;
+                self.out.push(Action::Line { table: slice, server, weight: 1.0 });
+            }
+            self.slices.insert(slice, free_at);
+        }
+    }
+}
+
+fn same_level(laid: Option<&(Resend, f64)>, wanted: &(Resend, f64)) -> bool {
+    laid.is_some_and(|(resend, level)| {
+        *resend == wanted.0 && (level - wanted.1).abs() <= STEP * wanted.1.abs()
+    })
+}
