--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,11 +27,13 @@
 const PROBE_EVERY: Micros = 1_000_000;
 const PROBE_SUSPECT: Micros = 400_000;
 /// Probes failed or answered in a row that take a server out or bring it back.
-const PROBES_OUT: u32 = 2;
+const PROBES_OUT: u32 = 3;
 const PROBES_BACK: u32 = 2;
+/// A server that answers this share of its tries is alive, whatever its probes say.
+const ANSWERS: f64 = 0.3;
 /// Tries needed to judge a server by tallies, and the failing share that condemns it.
 const MIN_TRIES: f64 = 5.0;
-const BAD_SHARE: f64 = 0.35;
+const BAD_SHARE: f64 = 0.5;
 /// A server is an outlier only at this many times the failing share of the fleet.
 const OUTLIER: f64 = 2.5;
 /// Evidence from tallies halves over this span.
@@ -85,6 +87,8 @@
     fails: u32,
     oks: u32,
     down: bool,
+    /// When a report last showed it answering.
+    answered_at: Micros,
 }
 
 /// What the proxies of one zone met at one server.
@@ -269,6 +273,7 @@
             fails: 0,
             oks: 0,
             down: false,
+            answered_at: 0,
             listed: entry,
         };
         self.servers.insert(server.listed.server, server);
@@ -301,8 +306,9 @@
     }
 
     fn learn_tally(&mut self, server: ServerId, zone: ZoneId, total: f64, errors: f64, latency: f64) {
-        if !self.servers.contains_key(&server) || total <= 0.0 {
-            return;
+        let Some(s) = self.servers.get_mut(&server).filter(|_| total > 0.0) else { return };
+        if total - errors >= ANSWERS * total {
+            s.answered_at = self.now;
         }
         let link = self.links.entry((server, zone)).or_default();
         let keep = 0.5f64.powf((self.now - link.at) as f64 / EVIDENCE_HALF);
@@ -348,12 +354,13 @@
         let ready = self.servers.values().filter(|s| self.ready(s)).count();
         let failing = self.servers.values().filter(|s| self.ready(s) && s.fails >= PROBES_OUT).count();
         let trusted = failing * 2 <= ready;
+        let heard = self.now.saturating_sub(self.set.report_period + self.set.report_period / 2);
         for server in self.servers.values_mut() {
             if server.down && (server.oks >= PROBES_BACK || !trusted) {
                 server.down = false;
                 server.ramp_from = self.now;
                 self.out.push(Action::Log(format!("return {:?}", server.listed.server)));
-            } else if !server.down && trusted && server.fails >= PROBES_OUT {
+            } else if !server.down && trusted && server.fails >= PROBES_OUT && server.answered_at < heard {
                 server.down = true;
                 self.out.push(Action::Log(format!("withdraw {:?}: probes fail", server.listed.server)));
             }
