--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,8 +61,9 @@
 const SHED_STEP: f64 = 0.12;
 const ADMIT_STEP: f64 = 0.06;
 const LEAST_LEVEL: f64 = 0.15;
-/// Beyond this much shedding, proxies stop repeating what may have run.
-const RETRY_UNTIL: f64 = 0.05;
+/// Proxies repeat what may have run only while answers come within this part of the aim: once queues form,
+/// the repeats of what waited too long are load that feeds the queues.
+const RETRY_HEAT: f64 = 0.35;
 /// A rate that lets everything in.
 const OPEN_RATE: f64 = 1e6;
 /// Spans before discovery is asked again after a failure (doubling) or without an answer.
@@ -132,6 +133,7 @@
     zoned: bool,
     backlog: f64,
     drained_at: Micros,
+    heat: f64,
     shed: f64,
     shed_at: Micros,
     answered: f64,
@@ -158,6 +160,7 @@
             zoned: false,
             backlog: 0.0,
             drained_at: now,
+            heat: 0.0,
             shed: 0.0,
             shed_at: now,
             answered: 0.0,
@@ -419,6 +422,7 @@
         }
         let aim = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(1).max(1) as f64;
         let heat = self.answer_time / self.answered / aim;
+        self.heat = heat;
         (self.answered, self.answer_time, self.shed_at) = (0.0, 0.0, self.now);
         if heat > HOT {
             self.shed = (self.shed + SHED_STEP).min(self.set.classes.len() as f64);
@@ -437,8 +441,8 @@
     fn resend(&self, class: &Class) -> Resend {
         let keyed_fits = class.group == Group::All && class.deadline <= class.window;
         match class.effect {
-            Effect::ReadLike if self.shed < RETRY_UNTIL => Resend::Once,
-            Effect::IdempotencyKey if keyed_fits && self.shed < RETRY_UNTIL => Resend::Once,
+            Effect::ReadLike if self.heat < RETRY_HEAT => Resend::Once,
+            Effect::IdempotencyKey if keyed_fits && self.heat < RETRY_HEAT => Resend::Once,
             _ => Resend::Unsent,
         }
     }
