--- a/src/policy.rs
+++ b/src/policy.rs
@@ -486,11 +486,17 @@
         load
     }
 
-    /// Servers by zone table, a ramping one in part: a cold zone is a short zone, and borrows warm servers.
+    /// What a server counts: by its listed weight, since unequal servers are no equal help, and in part while
+    /// it ramps, since a cold zone is a short zone and borrows warm servers. With equal weights: one.
+    fn count(&self, server: &Server) -> f64 {
+        self.ramp(server) * server.listed.weight
+    }
+
+    /// Servers that each zone's table holds.
     fn held(&self) -> BTreeMap<ZoneId, f64> {
         let mut held = BTreeMap::new();
         for s in self.servers.values().filter(|s| self.usable(s, s.home)) {
-            *held.entry(s.home).or_insert(0.0) += self.ramp(s);
+            *held.entry(s.home).or_insert(0.0) += self.count(s);
         }
         held
     }
@@ -543,7 +549,7 @@
             rank(a).total_cmp(&rank(b))
         });
         let Some(pick) = pick.filter(|_| count > 1 || wants(&lender) == 0.0) else { return false };
-        let gain = self.ramp(pick);
+        let gain = self.count(pick);
         if wants(&lender) / (has(&lender) - gain).max(1e-3) >= strain(&short) {
             return false;
         }
@@ -558,7 +564,7 @@
     fn return_one(&mut self) -> bool {
         let (expected, held) = (self.expected(), self.held());
         let spared = self.servers.values().find(|s| {
-            let has = held.get(&s.home).copied().unwrap_or(0.0) - self.ramp(s);
+            let has = held.get(&s.home).copied().unwrap_or(0.0) - self.count(s);
             let wants = expected.get(&s.home).copied().unwrap_or(0.0);
             s.home != s.listed.zone && (!self.usable(s, s.home) || wants / has.max(1e-3) <= RETURN)
         });
