--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,12 +54,13 @@
 const FAULT_PART: f64 = 0.75;
 /// Part of the channel's limit that may be filled; ordinary changes wait at `CALM_PART` of it.
 const PENDING_PART: f64 = 0.9;
-/// Mean answer time, against the shortest aim, above which load is shed and below which it is let in.
-const HOT: f64 = 0.8;
-const COOL: f64 = 0.6;
-/// Steps of shedding and of letting in again, and the least share of a class that is let in.
-const SHED_STEP: f64 = 0.12;
-const ADMIT_STEP: f64 = 0.06;
+/// A failed try counts as this many aims of waiting.
+const FAILED: f64 = 2.0;
+/// Heat that the fleet is held at under overload; shedding changes by `SHED_PACE` a second for each unit off.
+const HOT: f64 = 0.6;
+const SHED_PACE: f64 = 0.3;
+const SHED_MOST: f64 = 0.5;
+/// The least share of a class that is let in.
 const LEAST_LEVEL: f64 = 0.15;
 /// Proxies repeat what may have run only while answers come within this part of the aim: once queues form,
 /// the repeats of what waited too long are load that feeds the queues.
@@ -97,11 +98,20 @@
 struct Link {
     tries: f64,
     errors: f64,
+    /// Time of the good ones, in aims.
+    time: f64,
     at: Micros,
     out_until: Option<Micros>,
     strikes: u32,
 }
 
+impl Link {
+    /// How long its tries take on average, in aims; a failed one counts as `FAILED` of them.
+    fn heat(&self) -> f64 {
+        (self.time + FAILED * self.errors) / self.tries.max(1e-9)
+    }
+}
+
 struct Proxy {
     zone: ZoneId,
     joined: bool,
@@ -136,8 +146,6 @@
     heat: f64,
     shed: f64,
     shed_at: Micros,
-    answered: f64,
-    answer_time: f64,
     ask_at: Option<Micros>,
     ask_wait: Micros,
     out: Vec<Action>,
@@ -163,8 +171,6 @@
             heat: 0.0,
             shed: 0.0,
             shed_at: now,
-            answered: 0.0,
-            answer_time: 0.0,
             ask_at,
             ask_wait: ASK_AGAIN,
             out: Vec::new(),
@@ -313,15 +319,13 @@
         if total - errors >= ANSWERS * total {
             s.answered_at = self.now;
         }
+        let aim = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(1).max(1) as f64;
         let link = self.links.entry((server, zone)).or_default();
         let keep = 0.5f64.powf((self.now - link.at) as f64 / EVIDENCE_HALF);
-        (link.tries, link.errors) = (link.tries * keep + total, link.errors * keep + errors.min(total));
+        link.tries = link.tries * keep + total;
+        link.errors = link.errors * keep + errors.min(total);
+        link.time = link.time * keep + (total - errors).max(0.0) * latency / aim;
         link.at = self.now;
-        if link.out_until.is_none() {
-            let good = (total - errors).max(0.0);
-            self.answered += good;
-            self.answer_time += good * latency;
-        }
     }
 
     // ---- discovery
@@ -415,20 +419,21 @@
 
     // ---- levels
 
-    /// Guards against real overload: answer times near the aim everywhere. Sheds the least worth first.
+    /// The median heat over the servers in use: it rises when most are slow, not when some are in trouble.
+    fn median_heat(&self) -> f64 {
+        let known = self.links.values().filter(|l| l.tries >= 1.0 && l.out_until.is_none());
+        let mut heats: Vec<f64> = known.map(Link::heat).collect();
+        heats.sort_by(f64::total_cmp);
+        heats.get(heats.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    /// Guards against real overload: most servers answer late or not at all. Sheds the least worth first.
     fn set_shedding(&mut self) {
-        if self.answered < 1.0 || self.now < self.shed_at + self.set.report_period.max(TURN) {
-            return;
-        }
-        let aim = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(1).max(1) as f64;
-        let heat = self.answer_time / self.answered / aim;
-        self.heat = heat;
-        (self.answered, self.answer_time, self.shed_at) = (0.0, 0.0, self.now);
-        if heat > HOT {
-            self.shed = (self.shed + SHED_STEP).min(self.set.classes.len() as f64);
-        } else if heat < COOL {
-            self.shed = (self.shed - ADMIT_STEP).max(0.0);
-        }
+        self.heat = self.median_heat();
+        let span = (self.now - self.shed_at) as f64 * 1e-6;
+        self.shed_at = self.now;
+        let step = (self.heat - HOT).clamp(-SHED_MOST, SHED_MOST) * SHED_PACE * span;
+        self.shed = (self.shed + step).clamp(0.0, self.set.classes.len() as f64);
     }
 
     /// Classes from the least worth for their work up; the aim stands in for the work.
