--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,15 @@
 /// A withdrawn server is tried again after this long, doubling each time up to the cap.
 const HOLD: Micros = 4_000_000;
 const HOLD_MAX: Micros = 30_000_000;
+/// A server is slow at this heat and at this many times the median, and fine again at `FINE_HEAT` or the median.
+const SLOW_HEAT: f64 = 0.5;
+const SLOW: f64 = 1.5;
+const FINE_HEAT: f64 = 0.35;
+/// Steps in which a slow server loses its weight and gets it back, how often, and the least it keeps.
+const EASE: f64 = 0.75;
+const UNEASE: f64 = 1.1;
+const EASE_EVERY: Micros = 1_000_000;
+const EASE_LEAST: f64 = 0.25;
 /// Load shares are smoothed with this weight for a new report.
 const SHARE_GAIN: f64 = 0.3;
 /// A proxy that left keeps its load this long: it goes on sending by its tables.
@@ -89,6 +98,8 @@
     fails: u32,
     oks: u32,
     down: bool,
+    /// Part of its weight that it keeps while it is slow.
+    eased: f64,
     /// When a report last showed it answering.
     answered_at: Micros,
 }
@@ -144,6 +155,7 @@
     backlog: f64,
     drained_at: Micros,
     heat: f64,
+    eased_at: Micros,
     shed: f64,
     shed_at: Micros,
     ask_at: Option<Micros>,
@@ -169,6 +181,7 @@
             backlog: 0.0,
             drained_at: now,
             heat: 0.0,
+            eased_at: now,
             shed: 0.0,
             shed_at: now,
             ask_at,
@@ -282,6 +295,7 @@
             fails: 0,
             oks: 0,
             down: false,
+            eased: 1.0,
             answered_at: 0,
             listed: entry,
         };
@@ -351,6 +365,7 @@
     fn judge(&mut self) {
         self.judge_probes();
         self.judge_links();
+        self.ease();
         self.proxies.retain(|_, p| p.joined || self.now < p.left_at + LEFT_KEEPS);
     }
 
@@ -404,6 +419,28 @@
         }
     }
 
+    /// Guards against servers that are slow but alive: paused, crowded, weaker than listed. One far hotter than
+    /// the median server keeps a part of its weight until it has cooled, and counts for as much in its zone,
+    /// so that a zone of hot servers borrows. Harm: with few servers the median itself is the hot one.
+    fn ease(&mut self) {
+        if self.now < self.eased_at + self.set.report_period.max(EASE_EVERY) {
+            return;
+        }
+        self.eased_at = self.now;
+        let median = self.median_heat();
+        for server in self.servers.values_mut() {
+            let id = server.listed.server;
+            let met = self.links.range((id, ZoneId(0))..=(id, ZoneId(u16::MAX))).map(|(_, l)| l);
+            let (heat, tries) = met.fold((0.0, 0.0), |(h, t), l| (h + l.heat() * l.tries, t + l.tries));
+            let heat = heat / tries.max(1e-9);
+            if tries >= MIN_TRIES && heat > SLOW_HEAT.max(median * SLOW) {
+                server.eased = (server.eased * EASE).max(EASE_LEAST);
+            } else if heat < FINE_HEAT.max(median) {
+                server.eased = (server.eased * UNEASE).min(1.0);
+            }
+        }
+    }
+
     fn probe(&mut self) {
         if !self.set.probing {
             return;
@@ -494,7 +531,7 @@
     /// What a server counts: by its listed weight, since unequal servers are no equal help, and in part while
     /// it ramps, since a cold zone is a short zone and borrows warm servers. With equal weights: one.
     fn count(&self, server: &Server) -> f64 {
-        self.ramp(server) * server.listed.weight
+        self.ramp(server) * server.listed.weight * server.eased
     }
 
     /// Servers that each zone's table holds.
@@ -597,10 +634,10 @@
         if chosen.is_empty() {
             chosen = self.servers.values().filter(|s| self.ready(s)).collect();
         }
-        let earned: f64 = chosen.iter().map(|s| self.ramp(s) * s.listed.weight).sum();
+        let earned: f64 = chosen.iter().map(|s| self.count(s)).sum();
         let fleet: f64 = self.servers.values().filter(|s| self.ready(s)).map(|s| s.listed.weight).sum();
         let push = share * fleet / earned.max(1e-9);
-        chosen.iter().map(|s| (s.listed.server, s.listed.weight * self.spared(s, push))).collect()
+        chosen.iter().map(|s| (s.listed.server, s.listed.weight * s.eased * self.spared(s, push))).collect()
     }
 
     /// Cold budget: a server's part stays under what it can take since its start, were the fleet fully loaded.
