--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,7 +33,7 @@
 const ANSWERS: f64 = 0.3;
 /// Tries needed to judge a server by tallies, and the failing share that condemns it.
 const MIN_TRIES: f64 = 5.0;
-const BAD_SHARE: f64 = 0.5;
+const BAD_SHARE: f64 = 0.9;
 /// A server is an outlier only at this many times the failing share of the fleet.
 const OUTLIER: f64 = 2.5;
 /// Evidence from tallies halves over this span.
@@ -47,7 +47,7 @@
 const FINE_HEAT: f64 = 0.35;
 /// Steps in which a slow server loses its weight and gets it back, how often, and the least it keeps.
 const EASE: f64 = 0.75;
-const UNEASE: f64 = 1.1;
+const UNEASE: f64 = 1.25;
 const EASE_EVERY: Micros = 1_000_000;
 const EASE_LEAST: f64 = 0.25;
 /// Load shares are smoothed with this weight for a new report.
@@ -403,7 +403,7 @@
             if let Some(until) = link.out_until {
                 if self.now >= until && server.fails == 0 {
                     *link = Link { strikes: link.strikes, at: self.now, ..Link::default() };
-                    server.ramp_from = self.now;
+                    server.ramp_from = server.ramp_from.max(self.now.saturating_sub(RAMP / 3));
                     self.out.push(Action::Log(format!("try {id:?} again")));
                 }
                 continue;
