Ease in proportion to heat, withdraw on a run of failures, shed and restore faster

Cause: eased and shed parts came back too slowly and kept jams alive after the trouble; evidence of servers that proxies avoid never aged.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,25 +31,22 @@
 const PROBES_BACK: u32 = 2;
 /// A server that answers this share of its tries is alive, whatever its probes say.
 const ANSWERS: f64 = 0.3;
-/// Tries needed to judge a server by tallies, and the failing share that condemns it.
+/// So many tries failed without one answered take a server out, unless the median server is as hot as `JAM`:
+/// then all are jammed, and to withdraw some would only bury the rest.
 const MIN_TRIES: f64 = 5.0;
-const BAD_SHARE: f64 = 0.9;
-/// A server is an outlier only at this many times the failing share of the fleet.
-const OUTLIER: f64 = 2.5;
+const JAM: f64 = 1.0;
 /// Evidence from tallies halves over this span.
-const EVIDENCE_HALF: f64 = 2_500_000.0;
+const EVIDENCE_HALF: f64 = 1_500_000.0;
 /// A withdrawn server is tried again after this long, doubling each time up to the cap.
 const HOLD: Micros = 4_000_000;
 const HOLD_MAX: Micros = 30_000_000;
-/// A server is slow at this heat and at this many times the median, and fine again at `FINE_HEAT` or the median.
-const SLOW_HEAT: f64 = 0.5;
-const SLOW: f64 = 1.5;
-const FINE_HEAT: f64 = 0.35;
-/// Steps in which a slow server loses its weight and gets it back, how often, and the least it keeps.
-const EASE: f64 = 0.75;
-const UNEASE: f64 = 1.25;
+/// A server hotter than this, and than so many times the median, is slow: it keeps the part of its weight by
+/// which it is too hot, at least `EASE_LEAST`, approached in steps of `EASE_GAIN`.
+const SLOW_HEAT: f64 = 0.45;
+const SLOW: f64 = 1.3;
+const EASE_GAIN: f64 = 0.4;
 const EASE_EVERY: Micros = 1_000_000;
-const EASE_LEAST: f64 = 0.25;
+const EASE_LEAST: f64 = 0.2;
 /// Load shares are smoothed with this weight for a new report.
 const SHARE_GAIN: f64 = 0.3;
 /// A proxy that left keeps its load this long: it goes on sending by its tables.
@@ -65,10 +62,12 @@
 const PENDING_PART: f64 = 0.9;
 /// A failed try counts as this many aims of waiting.
 const FAILED: f64 = 2.0;
-/// Heat that the fleet is held at under overload; shedding changes by `SHED_PACE` a second for each unit off.
+/// Median heat above which load is shed, by `SHED_PACE` a second for each unit over, and below which it is let
+/// in again, by `ADMIT_PACE` a second.
 const HOT: f64 = 0.6;
-const SHED_PACE: f64 = 0.3;
-const SHED_MOST: f64 = 0.5;
+const SHED_PACE: f64 = 0.6;
+const COOL: f64 = 0.45;
+const ADMIT_PACE: f64 = 0.15;
 /// The least share of a class that is let in.
 const LEAST_LEVEL: f64 = 0.15;
 /// Proxies repeat what may have run only while answers come within this part of the aim: once queues form,
@@ -111,6 +110,8 @@
     errors: f64,
     /// Time of the good ones, in aims.
     time: f64,
+    /// Tries that failed since one was answered.
+    failed_run: f64,
     at: Micros,
     out_until: Option<Micros>,
     strikes: u32,
@@ -339,6 +340,7 @@
         link.tries = link.tries * keep + total;
         link.errors = link.errors * keep + errors.min(total);
         link.time = link.time * keep + (total - errors).max(0.0) * latency / aim;
+        link.failed_run = if errors >= total { link.failed_run + total } else { 0.0 };
         link.at = self.now;
     }
 
@@ -392,7 +394,7 @@
     /// Guards against servers that hang or fail for the proxies of a zone, whatever their probes say. Judged
     /// against the fleet, so that an overload condemns nobody; at most half of a zone's servers go out.
     fn judge_links(&mut self) {
-        let (tries, errors) = self.links.values().fold((0.0, 0.0), |(t, e), l| (t + l.tries, e + l.errors));
+        let median = self.median_heat();
         let ids: Vec<_> = self.links.keys().copied().collect();
         for (id, zone) in ids {
             let held = self.servers.values().filter(|s| s.home == zone && self.ready(s)).count();
@@ -408,13 +410,11 @@
                 }
                 continue;
             }
-            let others = (errors - link.errors) / (tries - link.tries).max(1.0);
-            let share = link.errors / link.tries.max(1.0);
-            let condemned = link.tries >= MIN_TRIES && share >= BAD_SHARE && share >= OUTLIER * others;
-            if condemned && (out + 1) * 2 <= held {
+            if link.failed_run >= MIN_TRIES && median < JAM && (out + 1) * 2 <= held {
                 link.out_until = Some(self.now + (HOLD << link.strikes.min(8)).min(HOLD_MAX));
                 link.strikes += 1;
-                self.out.push(Action::Log(format!("withdraw {id:?}: {share:.2} of tries fail")));
+                let run = link.failed_run;
+                self.out.push(Action::Log(format!("withdraw {id:?}: the last {run} tries failed")));
             }
         }
     }
@@ -428,16 +428,15 @@
         }
         self.eased_at = self.now;
         let median = self.median_heat();
+        let recent = self.recent();
         for server in self.servers.values_mut() {
             let id = server.listed.server;
             let met = self.links.range((id, ZoneId(0))..=(id, ZoneId(u16::MAX))).map(|(_, l)| l);
+            let met = met.filter(|l| l.at >= recent);
             let (heat, tries) = met.fold((0.0, 0.0), |(h, t), l| (h + l.heat() * l.tries, t + l.tries));
             let heat = heat / tries.max(1e-9);
-            if tries >= MIN_TRIES && heat > SLOW_HEAT.max(median * SLOW) {
-                server.eased = (server.eased * EASE).max(EASE_LEAST);
-            } else if heat < FINE_HEAT.max(median) {
-                server.eased = (server.eased * UNEASE).min(1.0);
-            }
+            let fair = (SLOW_HEAT.max(median * SLOW) / heat.max(1e-9)).clamp(EASE_LEAST, 1.0);
+            server.eased += EASE_GAIN * (fair - server.eased);
         }
     }
 
@@ -456,9 +455,15 @@
 
     // ---- levels
 
+    /// Reports before this are too old to judge by.
+    fn recent(&self) -> Micros {
+        self.now.saturating_sub(2 * self.set.report_period + EASE_EVERY)
+    }
+
     /// The median heat over the servers in use: it rises when most are slow, not when some are in trouble.
     fn median_heat(&self) -> f64 {
-        let known = self.links.values().filter(|l| l.tries >= 1.0 && l.out_until.is_none());
+        let recent = self.recent();
+        let known = self.links.values().filter(|l| l.at >= recent && l.out_until.is_none());
         let mut heats: Vec<f64> = known.map(Link::heat).collect();
         heats.sort_by(f64::total_cmp);
         heats.get(heats.len() / 2).copied().unwrap_or(0.0)
@@ -469,8 +474,14 @@
         self.heat = self.median_heat();
         let span = (self.now - self.shed_at) as f64 * 1e-6;
         self.shed_at = self.now;
-        let step = (self.heat - HOT).clamp(-SHED_MOST, SHED_MOST) * SHED_PACE * span;
-        self.shed = (self.shed + step).clamp(0.0, self.set.classes.len() as f64);
+        let step = if self.heat > HOT {
+            (self.heat - HOT) * SHED_PACE
+        } else if self.heat < COOL {
+            -ADMIT_PACE
+        } else {
+            0.0
+        };
+        self.shed = (self.shed + step * span).clamp(0.0, self.set.classes.len() as f64);
     }
 
     /// Classes from the least worth for their work up; the aim stands in for the work.
