--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,8 +19,12 @@
 const RAMP: Micros = 10_000_000;
 /// Ramp and level steps smaller than this are not worth a message.
 const STEP: f64 = 0.08;
+/// A weight that falls below this part of the old is as urgent as a withdrawal: the server has restarted cold.
+const CUT: f64 = 0.5;
 /// Part of the fall budget that a cold server may be given; the rest is for chance and client repeats.
 const COLD_MARGIN: f64 = 0.6;
+/// Tries for an answer beyond this say that answers fail, not that load grows.
+const MOST_PRESSURE: f64 = 6.0;
 /// The module looks at the clock this often without events.
 const TICK: Micros = 250_000;
 /// Spans between probes of a server in good standing and of one under suspicion.
@@ -647,10 +651,18 @@
         }
         let earned: f64 = chosen.iter().map(|s| self.count(s)).sum();
         let fleet: f64 = self.servers.values().filter(|s| self.ready(s)).map(|s| s.listed.weight).sum();
-        let push = share * fleet / earned.max(1e-9);
+        let push = share * fleet / earned.max(1e-9) * self.pressure();
         chosen.iter().map(|s| (s.listed.server, s.listed.weight * s.eased * self.spared(s, push))).collect()
     }
 
+    /// Tries for each answer: how far clients' and proxies' repeats push the load past what the fleet serves.
+    fn pressure(&self) -> f64 {
+        let recent = self.recent();
+        let met = self.links.values().filter(|l| l.at >= recent);
+        let (tries, errors) = met.fold((0.0, 0.0), |(t, e), l| (t + l.tries, e + l.errors));
+        (tries / (tries - errors).max(1.0)).clamp(1.0, MOST_PRESSURE)
+    }
+
     /// Cold budget: a server's part stays under what it can take since its start, were the fleet fully loaded.
     /// Guards against rolling deploys and zones that come back cold. Harm: a cold zone stays slow for longer.
     fn spared(&self, server: &Server, push: f64) -> f64 {
@@ -732,6 +744,9 @@
         let full = plan.values().copied().fold(0.0, f64::max);
         for (id, weight) in plan {
             let old = laid.get(id).copied().unwrap_or(0.0);
+            if *weight < old * CUT {
+                urgency = urgency.max(Urgency::Fault);
+            }
             if old == 0.0 || (weight - old).abs() > STEP * full {
                 lines.push((*id, *weight));
             }
