--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,9 +21,14 @@
 const STEP: f64 = 0.08;
 /// A weight that falls below this part of the old is as urgent as a withdrawal: the server has restarted cold.
 const CUT: f64 = 0.5;
+/// A zone table with ramping servers and this many times the fleet's load for its count spills over all zones
+/// at once: lending moves too slowly, or not at all, when a zone comes back cold.
+const SPILL: f64 = 2.0;
 /// Part of the fall budget that a cold server may be given; the rest is for chance and client repeats.
-const COLD_MARGIN: f64 = 0.6;
-/// Tries for an answer beyond this say that answers fail, not that load grows.
+const COLD_MARGIN: f64 = 0.75;
+/// Tries for an answer that the cold budget reckons with at least, since a jam is seen seconds late; beyond
+/// `MOST_PRESSURE` they say that answers fail, not that load grows.
+const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
 /// The module looks at the clock this often without events.
 const TICK: Micros = 250_000;
@@ -73,7 +78,9 @@
 const COOL: f64 = 0.45;
 const ADMIT_PACE: f64 = 0.15;
 /// The least share of a class that is let in.
-const LEAST_LEVEL: f64 = 0.15;
+const LEAST_ADMITTED: f64 = 0.15;
+/// Draws that a client makes for a request before it gives up; each is let in or refused anew.
+const DRAWS: f64 = 3.0;
 /// Proxies repeat what may have run only while answers come within this part of the aim: once queues form,
 /// the repeats of what waited too long are load that feeds the queues.
 const RETRY_HEAT: f64 = 0.35;
@@ -134,6 +141,8 @@
     left_at: Micros,
     listed_rate: f64,
     rates: BTreeMap<ClassId, f64>,
+    /// The same while nothing was shed: without the repeats of refused requests.
+    usual: BTreeMap<ClassId, f64>,
     bound: Option<TableId>,
     messages: VecDeque<Micros>,
 }
@@ -237,6 +246,9 @@
                     let seen = f64::from(*total) * 1e6 / *period as f64;
                     let rate = p.rates.entry(*class).or_insert(seen);
                     *rate += SHARE_GAIN * (seen - *rate);
+                    if self.shed == 0.0 || !p.usual.contains_key(class) {
+                        p.usual.insert(*class, *rate);
+                    }
                 }
             }
             Event::Mandate { slice, given } => {
@@ -327,10 +339,12 @@
                 (server.fails, server.down) = (0, false);
             }
         }
-        let rates = self.proxies.remove(&proxy).map(|p| p.rates).unwrap_or_default();
+        let before = self.proxies.remove(&proxy);
+        let (rates, usual) = before.map(|p| (p.rates, p.usual)).unwrap_or_default();
         let listed_rate = if rate.is_finite() && rate > 0.0 { rate } else { 1.0 };
         let (joined, left_at, bound, messages) = (true, 0, None, VecDeque::new());
-        self.proxies.insert(proxy, Proxy { zone, joined, left_at, listed_rate, rates, bound, messages });
+        let joining = Proxy { zone, joined, left_at, listed_rate, rates, usual, bound, messages };
+        self.proxies.insert(proxy, joining);
     }
 
     fn learn_tally(&mut self, server: ServerId, zone: ZoneId, total: f64, errors: f64, latency: f64) {
@@ -489,10 +503,10 @@
     }
 
     /// Classes from the least worth for their work up; the aim stands in for the work.
-    fn level(&self, class: usize) -> f64 {
+    fn admitted(&self, class: usize) -> f64 {
         let value = |k: usize| self.set.classes[k].worth / self.set.classes[k].aim.max(1) as f64;
         let rank = (0..self.set.classes.len()).filter(|&k| value(k) < value(class)).count() as f64;
-        (1.0 - (self.shed - rank).clamp(0.0, 1.0)).max(LEAST_LEVEL)
+        (1.0 - (self.shed - rank).clamp(0.0, 1.0)).max(LEAST_ADMITTED)
     }
 
     fn resend(&self, class: &Class) -> Resend {
@@ -508,11 +522,12 @@
         let mut levels = BTreeMap::new();
         for (k, class) in self.set.classes.iter().enumerate().take(16) {
             let id = ClassId(k as u8);
-            let mut level = self.level(k);
+            let admitted = self.admitted(k);
+            let mut level = 1.0 - (1.0 - admitted).powf(1.0 / DRAWS);
             if self.set.admit == Admit::Rps {
-                let rates = users.iter().filter_map(|p| self.proxies[p].rates.get(&id));
+                let rates = users.iter().filter_map(|p| self.proxies[p].usual.get(&id));
                 let mean = rates.sum::<f64>() / users.len().max(1) as f64;
-                level = if level >= 1.0 || mean <= 0.0 { OPEN_RATE } else { level * mean };
+                level = if admitted >= 1.0 || mean <= 0.0 { OPEN_RATE } else { admitted * mean };
             }
             levels.insert(id, (self.resend(class), level));
         }
@@ -649,9 +664,13 @@
         if chosen.is_empty() {
             chosen = self.servers.values().filter(|s| self.ready(s)).collect();
         }
-        let earned: f64 = chosen.iter().map(|s| self.count(s)).sum();
         let fleet: f64 = self.servers.values().filter(|s| self.ready(s)).map(|s| s.listed.weight).sum();
-        let push = share * fleet / earned.max(1e-9) * self.pressure();
+        let push =
+            |chosen: &[&Server]| share * fleet / chosen.iter().map(|s| self.count(s)).sum::<f64>().max(1e-9);
+        if push(&chosen) > SPILL && chosen.iter().any(|s| self.ramp(s) < 1.0) {
+            chosen = usable().collect();
+        }
+        let push = push(&chosen) * self.pressure();
         chosen.iter().map(|s| (s.listed.server, s.listed.weight * s.eased * self.spared(s, push))).collect()
     }
 
@@ -660,7 +679,7 @@
         let recent = self.recent();
         let met = self.links.values().filter(|l| l.at >= recent);
         let (tries, errors) = met.fold((0.0, 0.0), |(t, e), l| (t + l.tries, e + l.errors));
-        (tries / (tries - errors).max(1.0)).clamp(1.0, MOST_PRESSURE)
+        (tries / (tries - errors).max(1.0)).clamp(SURGE, MOST_PRESSURE)
     }
 
     /// Cold budget: a server's part stays under what it can take since its start, were the fleet fully loaded.
