--- a/src/policy.rs
+++ b/src/policy.rs
@@ -71,12 +71,13 @@
 const PENDING_PART: f64 = 0.9;
 /// A failed try counts as this many aims of waiting.
 const FAILED: f64 = 2.0;
-/// Median heat above which load is shed, by `SHED_PACE` a second for each unit over, and below which it is let
-/// in again, by `ADMIT_PACE` a second.
+/// Median heat above which a further part of a class is shed; reports need `SHED_HOLD` and two periods to show
+/// what that did, so there is no further step before. Below `COOL` it comes back slowly.
 const HOT: f64 = 0.6;
-const SHED_PACE: f64 = 0.6;
+const SHED_STEP: f64 = 0.3;
+const SHED_HOLD: Micros = 2_500_000;
 const COOL: f64 = 0.45;
-const ADMIT_PACE: f64 = 0.15;
+const ADMIT_PACE: f64 = 0.03;
 /// The least share of a class that is let in.
 const LEAST_ADMITTED: f64 = 0.15;
 /// Draws that a client makes for a request before it gives up; each is let in or refused anew.
@@ -172,6 +173,7 @@
     eased_at: Micros,
     shed: f64,
     shed_at: Micros,
+    hold_until: Micros,
     ask_at: Option<Micros>,
     ask_wait: Micros,
     out: Vec<Action>,
@@ -198,6 +200,7 @@
             eased_at: now,
             shed: 0.0,
             shed_at: now,
+            hold_until: now,
             ask_at,
             ask_wait: ASK_AGAIN,
             out: Vec::new(),
@@ -492,14 +495,13 @@
         self.heat = self.median_heat();
         let span = (self.now - self.shed_at) as f64 * 1e-6;
         self.shed_at = self.now;
-        let step = if self.heat > HOT {
-            (self.heat - HOT) * SHED_PACE
+        if self.heat > HOT && self.now >= self.hold_until {
+            self.shed += SHED_STEP;
+            self.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
         } else if self.heat < COOL {
-            -ADMIT_PACE
-        } else {
-            0.0
-        };
-        self.shed = (self.shed + step * span).clamp(0.0, self.set.classes.len() as f64);
+            self.shed -= ADMIT_PACE * span;
+        }
+        self.shed = self.shed.clamp(0.0, self.set.classes.len() as f64);
     }
 
     /// Classes from the least worth for their work up; the aim stands in for the work.
