--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,12 +72,13 @@
 /// A failed try counts as this many aims of waiting.
 const FAILED: f64 = 2.0;
 /// Median heat above which a further part of a class is shed; reports need `SHED_HOLD` and two periods to show
-/// what that did, so there is no further step before. Below `COOL` it comes back slowly.
+/// what that did, so there is no further step before. Below `COOL` it comes back, by
+/// `ADMIT_PACE` a second for each unit under.
 const HOT: f64 = 0.6;
 const SHED_STEP: f64 = 0.3;
 const SHED_HOLD: Micros = 2_500_000;
 const COOL: f64 = 0.45;
-const ADMIT_PACE: f64 = 0.03;
+const ADMIT_PACE: f64 = 0.5;
 /// The least share of a class that is let in.
 const LEAST_ADMITTED: f64 = 0.15;
 /// Draws that a client makes for a request before it gives up; each is let in or refused anew.
@@ -499,7 +500,7 @@
             self.shed += SHED_STEP;
             self.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
         } else if self.heat < COOL {
-            self.shed -= ADMIT_PACE * span;
+            self.shed -= ADMIT_PACE * span * (COOL - self.heat);
         }
         self.shed = self.shed.clamp(0.0, self.set.classes.len() as f64);
     }
