--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,11 +74,11 @@
 /// Median heat above which a further part of a class is shed; reports need `SHED_HOLD` and two periods to show
 /// what that did, so there is no further step before. Below `COOL` it comes back, by
 /// `ADMIT_PACE` a second for each unit under.
-const HOT: f64 = 0.6;
+const HOT: f64 = 0.7;
 const SHED_STEP: f64 = 0.3;
 const SHED_HOLD: Micros = 2_500_000;
 const COOL: f64 = 0.45;
-const ADMIT_PACE: f64 = 0.5;
+const ADMIT_PACE: f64 = 0.25;
 /// The least share of a class that is let in.
 const LEAST_ADMITTED: f64 = 0.15;
 /// Draws that a client makes for a request before it gives up; each is let in or refused anew.
@@ -482,13 +482,19 @@
         self.now.saturating_sub(2 * self.set.report_period + EASE_EVERY)
     }
 
-    /// The median heat over the servers in use: it rises when most are slow, not when some are in trouble.
+    /// The heat that the median try meets: it rises when most are slow, not when some are in trouble.
     fn median_heat(&self) -> f64 {
         let recent = self.recent();
         let known = self.links.values().filter(|l| l.at >= recent && l.out_until.is_none());
-        let mut heats: Vec<f64> = known.map(Link::heat).collect();
-        heats.sort_by(f64::total_cmp);
-        heats.get(heats.len() / 2).copied().unwrap_or(0.0)
+        let mut heats: Vec<(f64, f64)> = known.map(|l| (l.heat(), l.tries)).collect();
+        heats.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let half = heats.iter().map(|h| h.1).sum::<f64>() / 2.0;
+        let mut seen = 0.0;
+        let middle = heats.iter().find(|(_, tries)| {
+            seen += tries;
+            seen >= half
+        });
+        middle.map_or(0.0, |h| h.0)
     }
 
     /// Guards against real overload: most servers answer late or not at all. Sheds the least worth first.
