--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,7 +6,7 @@
 pub type Micros = u64;
 
 /// A server's address and port; opaque, given back unchanged.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub [u8; 6]);
 
 /// A proxy's number.
@@ -18,7 +18,7 @@
 pub struct TableId(pub u16);
 
 /// A zone's place in the settings.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub u16);
 
 /// A request class's place in the settings.
@@ -48,9 +48,10 @@
 }
 
 /// How levels are understood by the proxies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Admit {
     /// A share of the requests, 1 for all.
+    #[default]
     Ratio,
     /// Requests a second at each proxy.
     Rps,
@@ -78,7 +79,7 @@
 }
 
 /// Facts of the site that an instance is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Names of the zones; only their number matters.
     pub zones: usize,
@@ -139,9 +140,10 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ListState {
     /// Its process runs.
+    #[default]
     Ready,
     /// Finishing its work; send nothing new.
     Draining,
@@ -150,7 +152,7 @@
 }
 
 /// An entry of a list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ListEntry {
     /// The server.
     pub server: ServerId,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -35,6 +35,9 @@
 /// Spans between probes of a server in good standing and of one under suspicion.
 const PROBE_EVERY: Micros = 1_000_000;
 const PROBE_SUSPECT: Micros = 400_000;
+/// Probes of the servers of a list start this far apart; one without a result is given up after `PROBE_LOST`.
+const PROBE_SPREAD: Micros = 97_000;
+const PROBE_LOST: Micros = 5_000_000;
 /// Probes failed or answered in a row that take a server out or bring it back.
 const PROBES_OUT: u32 = 3;
 const PROBES_BACK: u32 = 2;
@@ -67,6 +70,8 @@
 /// Parts of the message limit open to ordinary changes and to withdrawals; drains may use it all.
 const CALM_PART: f64 = 0.5;
 const FAULT_PART: f64 = 0.75;
+/// The ledger reckons with a channel this much slower than told: slow days are not announced.
+const SLOWEST: f64 = 0.2;
 /// Part of the channel's limit that may be filled; ordinary changes wait at `CALM_PART` of it.
 const PENDING_PART: f64 = 0.9;
 /// A failed try counts as this many aims of waiting.
@@ -100,13 +105,13 @@
     Drain,
 }
 
+#[derive(Default)]
 struct Server {
     listed: ListEntry,
     /// The zone whose table holds it.
     home: ZoneId,
     ramp_from: Micros,
     next_probe: Micros,
-    probe_out: bool,
     fails: u32,
     oks: u32,
     down: bool,
@@ -137,6 +142,7 @@
     }
 }
 
+#[derive(Default)]
 struct Proxy {
     zone: ZoneId,
     joined: bool,
@@ -156,7 +162,28 @@
     sent_at: Micros,
 }
 
+type ByZone = BTreeMap<ZoneId, f64>;
+
+/// Servers by zone, counted as `Policy::count` does.
+struct Zones {
+    expected: ByZone,
+    held: ByZone,
+}
+
+impl Zones {
+    fn spare(&self, zone: ZoneId) -> f64 {
+        self.held.get(&zone).unwrap_or(&0.0) - self.expected.get(&zone).unwrap_or(&0.0)
+    }
+
+    /// How many times the servers that a zone would have without these it is expected to have.
+    fn strain(&self, zone: ZoneId, without: f64) -> f64 {
+        let held = self.held.get(&zone).unwrap_or(&0.0) - without;
+        self.expected.get(&zone).unwrap_or(&0.0) / held.max(1e-3)
+    }
+}
+
 /// One conductor's decisions.
+#[derive(Default)]
 pub struct Policy {
     set: Settings,
     now: Micros,
@@ -169,11 +196,11 @@
     slices: BTreeMap<TableId, Micros>,
     zoned: bool,
     backlog: f64,
-    drained_at: Micros,
     heat: f64,
     eased_at: Micros,
     shed: f64,
-    shed_at: Micros,
+    /// Seconds since the last batch.
+    span: f64,
     hold_until: Micros,
     ask_at: Option<Micros>,
     ask_wait: Micros,
@@ -184,34 +211,14 @@
     /// A conductor at its start: no list, no proxies, no tables. Nothing here needs chance yet.
     pub fn new(set: Settings, _seed: u64, now: Micros) -> Self {
         let ask_at = set.list_on_request.then_some(now);
-        Policy {
-            set,
-            now,
-            started: now,
-            next_tick: now,
-            servers: BTreeMap::new(),
-            links: BTreeMap::new(),
-            proxies: BTreeMap::new(),
-            tables: BTreeMap::new(),
-            slices: BTreeMap::new(),
-            zoned: false,
-            backlog: 0.0,
-            drained_at: now,
-            heat: 0.0,
-            eased_at: now,
-            shed: 0.0,
-            shed_at: now,
-            hold_until: now,
-            ask_at,
-            ask_wait: ASK_AGAIN,
-            out: Vec::new(),
-        }
+        Policy { set, now, started: now, ask_at, ask_wait: ASK_AGAIN, ..Policy::default() }
     }
 
     /// Takes a batch's events and clock, decides once, and gives the orders.
     pub fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        self.span = now.saturating_sub(self.now) as f64 * 1e-6;
         self.now = now;
-        self.drain_channel();
+        self.backlog = (self.backlog - self.span * self.set.lines_per_s * SLOWEST).max(0.0);
         events.iter().for_each(|event| self.learn(event));
         self.ask_discovery();
         self.judge();
@@ -269,6 +276,7 @@
         }
     }
 
+    /// Where only drains bind, a list that drops a server may be wrong: probes and reports judge it instead.
     /// A failed call is no empty fleet: the old list stands, and discovery is asked again, less and less often.
     fn learn_list(&mut self, how: ListHow, entries: &[ListEntry]) {
         if how == ListHow::Failed {
@@ -279,7 +287,7 @@
         if how != ListHow::Cached {
             (self.ask_at, self.ask_wait) = (None, ASK_AGAIN);
         }
-        if how != ListHow::Delta {
+        if how != ListHow::Delta && !self.set.drain_binds_alone {
             let named: BTreeSet<_> = entries.iter().map(|e| e.server).collect();
             for server in self.servers.values_mut().filter(|s| !named.contains(&s.listed.server)) {
                 server.listed.state = ListState::Gone;
@@ -300,6 +308,9 @@
         let fresh = entry.born > 0 && entry.born + cold > now;
         let ramp_from = if fresh { entry.born.min(now) } else { 0 };
         if let Some(server) = self.servers.get_mut(&entry.server) {
+            if entry.state == ListState::Gone && self.set.drain_binds_alone {
+                return;
+            }
             if entry.born != server.listed.born {
                 server.ramp_from = ramp_from.max(server.ramp_from);
             }
@@ -307,28 +318,16 @@
             return;
         }
         let home = if first { entry.zone } else { self.zone_most_short(entry.zone) };
-        let next_probe = now + (self.servers.len() as u64 * 97_000) % PROBE_EVERY;
-        let server = Server {
-            home,
-            ramp_from,
-            next_probe,
-            probe_out: false,
-            fails: 0,
-            oks: 0,
-            down: false,
-            eased: 1.0,
-            answered_at: 0,
-            listed: entry,
-        };
+        let next_probe = now + (self.servers.len() as u64 * PROBE_SPREAD) % PROBE_EVERY;
+        let server = Server { home, ramp_from, next_probe, eased: 1.0, listed: entry, ..Server::default() };
         self.servers.insert(server.listed.server, server);
     }
 
     fn learn_probe(&mut self, server: ServerId, outcome: ProbeOutcome) {
         let Some(s) = self.servers.get_mut(&server) else { return };
-        s.probe_out = false;
         match outcome {
             ProbeOutcome::Ok => (s.oks, s.fails) = (s.oks + 1, 0),
-            ProbeOutcome::Full => return,
+            ProbeOutcome::Full => {}
             _ => (s.oks, s.fails) = (0, s.fails + 1),
         }
         let every = if s.fails > 0 || s.down { PROBE_SUSPECT } else { PROBE_EVERY };
@@ -343,11 +342,10 @@
                 (server.fails, server.down) = (0, false);
             }
         }
-        let before = self.proxies.remove(&proxy);
-        let (rates, usual) = before.map(|p| (p.rates, p.usual)).unwrap_or_default();
+        let before = self.proxies.remove(&proxy).unwrap_or_default();
         let listed_rate = if rate.is_finite() && rate > 0.0 { rate } else { 1.0 };
-        let (joined, left_at, bound, messages) = (true, 0, None, VecDeque::new());
-        let joining = Proxy { zone, joined, left_at, listed_rate, rates, usual, bound, messages };
+        let (rates, usual) = (before.rates, before.usual);
+        let joining = Proxy { zone, joined: true, listed_rate, rates, usual, ..Proxy::default() };
         self.proxies.insert(proxy, joining);
     }
 
@@ -390,6 +388,9 @@
         self.judge_probes();
         self.judge_links();
         self.ease();
+        let tables = &self.tables;
+        let held = |id: &ServerId| tables.values().any(|t| t.lines.contains_key(id));
+        self.servers.retain(|id, s| s.listed.state != ListState::Gone || held(id));
         self.proxies.retain(|_, p| p.joined || self.now < p.left_at + LEFT_KEEPS);
     }
 
@@ -467,9 +468,8 @@
             return;
         }
         for server in self.servers.values_mut() {
-            let due = self.now >= server.next_probe && !server.probe_out;
-            if due && server.listed.state == ListState::Ready {
-                server.probe_out = true;
+            if self.now >= server.next_probe && server.listed.state == ListState::Ready {
+                server.next_probe = self.now + PROBE_LOST;
                 self.out.push(Action::Probe { server: server.listed.server });
             }
         }
@@ -497,18 +497,17 @@
         middle.map_or(0.0, |h| h.0)
     }
 
-    /// Guards against real overload: most servers answer late or not at all. Sheds the least worth first.
+    /// Guards against real overload: most servers answer late or not at all. Sheds the least worth first, and
+    /// never the class worth most: if all others are shed and it is still hot, load is not the trouble.
     fn set_shedding(&mut self) {
         self.heat = self.median_heat();
-        let span = (self.now - self.shed_at) as f64 * 1e-6;
-        self.shed_at = self.now;
         if self.heat > HOT && self.now >= self.hold_until {
             self.shed += SHED_STEP;
             self.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
         } else if self.heat < COOL {
-            self.shed -= ADMIT_PACE * span * (COOL - self.heat);
+            self.shed -= ADMIT_PACE * self.span * (COOL - self.heat);
         }
-        self.shed = self.shed.clamp(0.0, self.set.classes.len() as f64);
+        self.shed = self.shed.clamp(0.0, self.set.classes.len().saturating_sub(1).max(1) as f64);
     }
 
     /// Classes from the least worth for their work up; the aim stands in for the work.
@@ -555,12 +554,12 @@
     }
 
     /// Each zone's share of the load that our proxies report; of our joined proxies until they report.
-    fn shares(&self) -> BTreeMap<ZoneId, f64> {
+    fn shares(&self) -> ByZone {
         let reported = self.proxies.values().any(|p| !p.rates.is_empty());
-        let mut load = BTreeMap::new();
+        let mut load = ByZone::new();
         for p in self.proxies.values() {
             let rate = if p.rates.is_empty() { p.listed_rate } else { p.rates.values().sum() };
-            *load.entry(p.zone).or_insert(0.0) += if reported { rate } else { 1.0 };
+            *load.entry(p.zone).or_default() += if reported { rate } else { 1.0 };
         }
         let all: f64 = load.values().sum::<f64>().max(1e-9);
         load.values_mut().for_each(|l| *l /= all);
@@ -573,87 +572,60 @@
         self.ramp(server) * server.listed.weight * server.eased
     }
 
-    /// Servers that each zone's table holds.
-    fn held(&self) -> BTreeMap<ZoneId, f64> {
-        let mut held = BTreeMap::new();
+    /// How many servers each zone's table holds and how many it expects: all, times its share of the load.
+    fn zones(&self) -> Zones {
+        let mut held = ByZone::new();
         for s in self.servers.values().filter(|s| self.usable(s, s.home)) {
-            *held.entry(s.home).or_insert(0.0) += self.count(s);
+            *held.entry(s.home).or_default() += self.count(s);
         }
-        held
-    }
-
-    fn expected(&self) -> BTreeMap<ZoneId, f64> {
-        let all: f64 = self.held().values().sum();
-        self.shares().into_iter().map(|(zone, share)| (zone, share * all)).collect()
+        let all: f64 = held.values().sum();
+        Zones { expected: self.shares().into_iter().map(|(zone, share)| (zone, share * all)).collect(), held }
     }
 
     /// The zone most short of its count; its own where that is as short, within a server.
     fn zone_most_short(&self, own: ZoneId) -> ZoneId {
-        let (expected, held) = (self.expected(), self.held());
-        let short = |zone: &ZoneId| expected.get(zone).unwrap_or(&0.0) - held.get(zone).unwrap_or(&0.0);
-        let most = expected.keys().copied().max_by(|a, b| short(a).total_cmp(&short(b)));
-        most.filter(|zone| short(zone) > short(&own) + 1.0).unwrap_or(own)
+        let zones = self.zones();
+        let most = zones.expected.keys().copied().min_by(|a, b| zones.spare(*a).total_cmp(&zones.spare(*b)));
+        most.filter(|zone| zones.spare(*zone) + 1.0 < zones.spare(own)).unwrap_or(own)
     }
 
     fn cut_zones(&mut self) {
-        let count = self.servers.values().filter(|s| self.ready(s)).count();
+        let ready = self.servers.values().filter(|s| self.ready(s)).count();
         self.zoned =
-            if self.zoned { count > ZONED_OFF * self.set.zones } else { count >= ZONED_ON * self.set.zones };
-        let own_zone_only = self.set.classes.iter().any(|c| c.own_zone);
-        if self.now < self.started + SETTLE || own_zone_only {
+            ready >= if self.zoned { ZONED_OFF * self.set.zones + 1 } else { ZONED_ON * self.set.zones };
+        if self.now < self.started + SETTLE || self.set.classes.iter().any(|c| c.own_zone) {
             self.servers.values_mut().for_each(|s| s.home = s.listed.zone);
             return;
         }
-        while self.lend_one() {}
-        while self.return_one() {}
+        while let Some((id, zone)) = self.loan().or_else(|| self.homecoming()) {
+            self.servers.entry(id).and_modify(|s| s.home = zone);
+        }
     }
 
-    /// Moves one server into the zone most overloaded, if it is beyond the slack, from the zone with most spare.
-    fn lend_one(&mut self) -> bool {
-        let (expected, held) = (self.expected(), self.held());
-        let has = |zone: &ZoneId| held.get(zone).copied().unwrap_or(0.0);
-        let wants = |zone: &ZoneId| expected.get(zone).copied().unwrap_or(0.0);
-        let strain = |zone: &ZoneId| wants(zone) / has(zone).max(1e-3);
-        let Some(short) = expected.keys().copied().max_by(|a, b| strain(a).total_cmp(&strain(b))) else {
-            return false;
-        };
-        if strain(&short) <= OVERLOAD {
-            return false;
-        }
-        let spare = |zone: &ZoneId| has(zone) - wants(zone);
-        let lender = held.keys().copied().filter(|z| *z != short && spare(z) > 0.0);
-        let Some(lender) = lender.max_by(|a, b| spare(a).total_cmp(&spare(b))) else { return false };
-        let candidates = self.servers.values().filter(|s| s.home == lender && self.usable(s, lender));
-        let count = candidates.clone().count();
-        let pick = candidates.filter(|s| self.usable(s, short)).max_by(|a, b| {
-            let rank = |s: &Server| (s.listed.zone == short) as u8 as f64 + self.ramp(s);
-            rank(a).total_cmp(&rank(b))
-        });
-        let Some(pick) = pick.filter(|_| count > 1 || wants(&lender) == 0.0) else { return false };
-        let gain = self.count(pick);
-        if wants(&lender) / (has(&lender) - gain).max(1e-3) >= strain(&short) {
-            return false;
-        }
-        let id = pick.listed.server;
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.home = short;
-        }
-        true
+    /// The next server to lend: to the zone most overloaded, if beyond the slack, from the one with most to
+    /// spare. One that belongs to the short zone goes first, then a warm one.
+    fn loan(&self) -> Option<(ServerId, ZoneId)> {
+        let zones = self.zones();
+        let strained = |a: &ZoneId, b: &ZoneId| zones.strain(*a, 0.0).total_cmp(&zones.strain(*b, 0.0));
+        let short = zones.expected.keys().copied().max_by(strained)?;
+        let spare = |a: &ZoneId, b: &ZoneId| zones.spare(*a).total_cmp(&zones.spare(*b));
+        let lender =
+            zones.held.keys().copied().filter(|z| *z != short && zones.spare(*z) > 0.0).max_by(spare)?;
+        let mine = self.servers.values().filter(|s| s.home == lender && self.usable(s, lender));
+        let last = mine.clone().count() == 1 && zones.expected.contains_key(&lender);
+        let rank = |s: &&Server| self.ramp(s) + f64::from(u8::from(s.listed.zone == short));
+        let pick = mine.filter(|s| self.usable(s, short)).max_by(|a, b| rank(a).total_cmp(&rank(b)))?;
+        let strain = zones.strain(short, 0.0);
+        let helps = strain > OVERLOAD && zones.strain(lender, self.count(pick)) < strain;
+        (helps && !last).then_some((pick.listed.server, short))
     }
 
-    /// Sends one lent server home, if its borrower does well without it.
-    fn return_one(&mut self) -> bool {
-        let (expected, held) = (self.expected(), self.held());
-        let spared = self.servers.values().find(|s| {
-            let has = held.get(&s.home).copied().unwrap_or(0.0) - self.count(s);
-            let wants = expected.get(&s.home).copied().unwrap_or(0.0);
-            s.home != s.listed.zone && (!self.usable(s, s.home) || wants / has.max(1e-3) <= RETURN)
-        });
-        let Some(id) = spared.map(|s| s.listed.server) else { return false };
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.home = server.listed.zone;
-        }
-        true
+    /// The next lent server to send home: one that its borrower does well without.
+    fn homecoming(&self) -> Option<(ServerId, ZoneId)> {
+        let zones = self.zones();
+        let spared = |s: &&Server| !self.usable(s, s.home) || zones.strain(s.home, self.count(s)) <= RETURN;
+        let lent = self.servers.values().filter(|s| s.home != s.listed.zone);
+        lent.filter(spared).map(|s| (s.listed.server, s.listed.zone)).next()
     }
 
     // ---- tables
@@ -720,16 +692,11 @@
     }
 
     fn publish_table(&mut self, id: TableId, plan: BTreeMap<ServerId, f64>) {
-        let users: Vec<ProxyId> =
-            self.proxies.iter().filter(|(_, p)| p.joined && p.bound == Some(id)).map(|(k, _)| *k).collect();
-        let joining: Vec<ProxyId> = self
-            .proxies
-            .iter()
-            .filter(|(_, p)| p.joined && p.bound != Some(id) && self.table_of(p.zone) == id)
-            .map(|(k, _)| *k)
-            .collect();
-        let mut everyone = users.clone();
-        everyone.extend(&joining);
+        let mine = self.proxies.iter().filter(|(_, p)| p.joined && self.table_of(p.zone) == id);
+        let everyone: Vec<ProxyId> = mine.map(|(id, _)| *id).collect();
+        let bound = |p: &(&ProxyId, &Proxy)| p.1.joined && p.1.bound == Some(id);
+        let users: Vec<ProxyId> = self.proxies.iter().filter(bound).map(|(id, _)| *id).collect();
+        let joining = everyone.iter().copied().filter(|p| !users.contains(p)).collect::<Vec<_>>();
         let levels = self.levels(&everyone);
         let (lines, urgency) = self.changes(id, &plan);
         let table = self.tables.entry(id).or_default();
@@ -801,12 +768,6 @@
 
     // ---- the channel
 
-    fn drain_channel(&mut self) {
-        let sent = (self.now - self.drained_at) as f64 * 1e-6 * self.set.lines_per_s;
-        self.backlog = (self.backlog - sent).max(0.0);
-        self.drained_at = self.now;
-    }
-
     /// Channel ledger: lines waiting and messages a proxy, with a reserve for withdrawals and drains.
     fn may_send(&self, urgency: Urgency, sent_at: Micros, to: &[ProxyId], lines: usize) -> bool {
         let part = match urgency {
