--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,39 +3,41 @@
 //! Read top-down: [`Policy::decide`] takes a batch of events and the clock, learns from the events, judges
 //! the servers' health, cuts the zone tables of docs/design.md and sends what has changed.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 
 /// Zone tables come on at this many servers a zone, and go off at `ZONED_OFF`: the gap stops flapping.
 const ZONED_ON: usize = 4;
 const ZONED_OFF: usize = 2;
-/// A zone borrows when it expects this many times the servers it has (the talk's 25%).
+/// A zone borrows when it expects this many times what it holds (the talk's 25%), and gives back under `RETURN`.
 const OVERLOAD: f64 = 1.25;
-/// A lent server goes home when the borrower does without it at this ratio: well under `OVERLOAD`.
 const RETURN: f64 = 1.05;
-/// Slow start: a tenth of the weight, full after ten seconds.
+/// No lending so soon after the start: the first joins and reports say little of the zones' shares.
+const SETTLE: Micros = 2_500_000;
+/// Load shares are smoothed with this weight for a new report.
+const SHARE_GAIN: f64 = 0.3;
+/// A proxy that left keeps its load this long: it goes on sending by its tables.
+const LEFT_KEEPS: Micros = 20_000_000;
+/// Slow start: a tenth of the weight, full after ten seconds. What only failed tries, not probes, starts at
+/// `BACK` of that span: it has not restarted and is warm.
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
-/// Ramp and level steps smaller than this are not worth a message.
-const STEP: f64 = 0.08;
-/// A weight that falls below this part of the old is as urgent as a withdrawal: the server has restarted cold.
-const CUT: f64 = 0.5;
-/// A zone table with ramping servers and this many times the fleet's load for its count spills over all zones
-/// at once: lending moves too slowly, or not at all, when a zone comes back cold.
-const SPILL: f64 = 2.0;
-/// Part of the fall budget that a cold server may be given; the rest is for chance and client repeats.
+const BACK: Micros = RAMP / 3;
+/// Cold budget: the part of it that may be used; tries for an answer that it reckons with at least, as a jam is
+/// seen seconds late, and at most, beyond which answers fail rather than load grows.
 const COLD_MARGIN: f64 = 0.75;
-/// Tries for an answer that the cold budget reckons with at least, since a jam is seen seconds late; beyond
-/// `MOST_PRESSURE` they say that answers fail, not that load grows.
 const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
+/// A zone table with ramping servers and this many times the fleet's load for its count spills over all zones
+/// at once: lending moves too slowly, or not at all, when a zone comes back cold.
+const SPILL: f64 = 2.0;
 /// The module looks at the clock this often without events.
 const TICK: Micros = 250_000;
-/// Spans between probes of a server in good standing and of one under suspicion.
+/// Probes: spans between those of a server in good standing and of one under suspicion, between the first ones
+/// of a list, and until one without a result is given up.
 const PROBE_EVERY: Micros = 1_000_000;
 const PROBE_SUSPECT: Micros = 400_000;
-/// Probes of the servers of a list start this far apart; one without a result is given up after `PROBE_LOST`.
 const PROBE_SPREAD: Micros = 97_000;
 const PROBE_LOST: Micros = 5_000_000;
 /// Probes failed or answered in a row that take a server out or bring it back.
@@ -47,11 +49,12 @@
 /// then all are jammed, and to withdraw some would only bury the rest.
 const MIN_TRIES: f64 = 5.0;
 const JAM: f64 = 1.0;
-/// Evidence from tallies halves over this span.
-const EVIDENCE_HALF: f64 = 1_500_000.0;
-/// A withdrawn server is tried again after this long, doubling each time up to the cap.
+/// It is tried again after this long, doubling each time up to the cap.
 const HOLD: Micros = 4_000_000;
 const HOLD_MAX: Micros = 30_000_000;
+/// Evidence from tallies halves over this span. A failed try counts as `FAILED` aims of waiting.
+const EVIDENCE_HALF: f64 = 1_500_000.0;
+const FAILED: f64 = 2.0;
 /// A server hotter than this, and than so many times the median, is slow: it keeps the part of its weight by
 /// which it is too hot, at least `EASE_LEAST`, approached in steps of `EASE_GAIN`.
 const SLOW_HEAT: f64 = 0.45;
@@ -59,52 +62,40 @@
 const EASE_GAIN: f64 = 0.4;
 const EASE_EVERY: Micros = 1_000_000;
 const EASE_LEAST: f64 = 0.2;
-/// Load shares are smoothed with this weight for a new report.
-const SHARE_GAIN: f64 = 0.3;
-/// A proxy that left keeps its load this long: it goes on sending by its tables.
-const LEFT_KEEPS: Micros = 20_000_000;
-/// No lending so soon after the start: the first joins and reports say little of the zones' shares.
-const SETTLE: Micros = 2_500_000;
-/// Span between ordinary changes to a table where messages are not limited.
-const TURN: Micros = 500_000;
-/// Parts of the message limit open to ordinary changes and to withdrawals; drains may use it all.
-const CALM_PART: f64 = 0.5;
-const FAULT_PART: f64 = 0.75;
-/// The ledger reckons with a channel this much slower than told: slow days are not announced.
-const SLOWEST: f64 = 0.2;
-/// Part of the channel's limit that may be filled; ordinary changes wait at `CALM_PART` of it.
-const PENDING_PART: f64 = 0.9;
-/// A failed try counts as this many aims of waiting.
-const FAILED: f64 = 2.0;
 /// Median heat above which a further part of a class is shed; reports need `SHED_HOLD` and two periods to show
-/// what that did, so there is no further step before. Below `COOL` it comes back, by
-/// `ADMIT_PACE` a second for each unit under.
+/// what that did, so there is no further step before. Below `COOL` it comes back, by `ADMIT_PACE` a second for
+/// each unit under. Some of each class is always let in: `LEAST_ADMITTED`.
 const HOT: f64 = 0.7;
 const SHED_STEP: f64 = 0.3;
 const SHED_HOLD: Micros = 2_500_000;
 const COOL: f64 = 0.45;
 const ADMIT_PACE: f64 = 0.25;
-/// The least share of a class that is let in.
 const LEAST_ADMITTED: f64 = 0.15;
 /// Draws that a client makes for a request before it gives up; each is let in or refused anew.
 const DRAWS: f64 = 3.0;
-/// Proxies repeat what may have run only while answers come within this part of the aim: once queues form,
-/// the repeats of what waited too long are load that feeds the queues.
-const RETRY_HEAT: f64 = 0.35;
 /// A rate that lets everything in.
 const OPEN_RATE: f64 = 1e6;
+/// Proxies repeat what may have run only while the median heat is under this: once queues form, the repeats of
+/// what waited too long feed the queues.
+const RETRY_HEAT: f64 = 0.35;
+/// Weight and level changes under this part are not worth a message; a cut below `CUT` cannot wait for a turn.
+const STEP: f64 = 0.08;
+const CUT: f64 = 0.5;
+/// Span between ordinary changes to a table where messages are not limited.
+const TURN: Micros = 500_000;
+/// Urgency of a change: the part of the channel's and the message limit that it may use. Drains may use it all.
+const CALM: f64 = 0.5;
+const FAULT: f64 = 0.75;
+const DRAIN: f64 = 1.0;
+/// The ledger fills the channel to this part, and reckons with one this much slower than told: slow days are
+/// not announced, and ordinary orders need little of it.
+const PENDING_PART: f64 = 0.9;
+const SLOWEST: f64 = 0.2;
 /// Spans before discovery is asked again after a failure (doubling) or without an answer.
 const ASK_AGAIN: Micros = 500_000;
 const ASK_MAX: Micros = 4_000_000;
 const ASK_LOST: Micros = 6_000_000;
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Urgency {
-    Calm,
-    Fault,
-    Drain,
-}
-
 #[derive(Default)]
 struct Server {
     listed: ListEntry,
@@ -152,7 +143,7 @@
     /// The same while nothing was shed: without the repeats of refused requests.
     usual: BTreeMap<ClassId, f64>,
     bound: Option<TableId>,
-    messages: VecDeque<Micros>,
+    messages: Vec<Micros>,
 }
 
 #[derive(Default)]
@@ -163,6 +154,7 @@
 }
 
 type ByZone = BTreeMap<ZoneId, f64>;
+type Lines = Vec<(ServerId, f64)>;
 
 /// Servers by zone, counted as `Policy::count` does.
 struct Zones {
@@ -245,29 +237,25 @@
             Event::Probed { server, outcome, .. } => self.learn_probe(*server, *outcome),
             Event::Joined { proxy, zone, rate, .. } => self.learn_join(*proxy, *zone, *rate),
             Event::Left { proxy } => {
-                if let Some(p) = self.proxies.get_mut(proxy) {
-                    (p.joined, p.left_at, p.bound) = (false, self.now, None);
-                }
+                let left = |p: &mut Proxy| (p.joined, p.left_at, p.bound) = (false, self.now, None);
+                self.proxies.entry(*proxy).and_modify(left);
             }
             Event::Tally { server, zone, total, errors, latency, .. } => {
                 self.learn_tally(*server, *zone, f64::from(*total), f64::from(*errors), *latency as f64);
             }
             Event::Traffic { proxy, class, period, total, .. } if *period > 0 => {
-                if let Some(p) = self.proxies.get_mut(proxy) {
-                    let seen = f64::from(*total) * 1e6 / *period as f64;
-                    let rate = p.rates.entry(*class).or_insert(seen);
-                    *rate += SHARE_GAIN * (seen - *rate);
-                    if self.shed == 0.0 || !p.usual.contains_key(class) {
-                        p.usual.insert(*class, *rate);
-                    }
+                let Some(p) = self.proxies.get_mut(proxy) else { return };
+                let seen = f64::from(*total) * 1e6 / *period as f64;
+                let rate = p.rates.entry(*class).or_insert(seen);
+                *rate += SHARE_GAIN * (seen - *rate);
+                if self.shed == 0.0 || !p.usual.contains_key(class) {
+                    p.usual.insert(*class, *rate);
                 }
             }
             Event::Mandate { slice, given } => {
                 self.tables.remove(slice);
                 self.slices.remove(slice);
-                if *given {
-                    self.slices.insert(*slice, self.now);
-                }
+                self.slices.extend(given.then_some((*slice, self.now)));
             }
             Event::OnRecord { slice, server, weight } if *weight > 0.0 => {
                 self.tables.entry(*slice).or_default().lines.insert(*server, *weight);
@@ -294,31 +282,26 @@
             }
         }
         let first = self.servers.is_empty();
-        for entry in entries {
-            self.learn_entry(entry, first);
-        }
+        entries.iter().for_each(|entry| self.learn_entry(entry.clone(), first));
     }
 
-    fn learn_entry(&mut self, entry: &ListEntry, first: bool) {
-        let (now, cold) = (self.now, self.set.cold);
-        let mut entry = entry.clone();
+    fn learn_entry(&mut self, mut entry: ListEntry, first: bool) {
         if !(entry.weight.is_finite() && entry.weight > 0.0) {
             entry.weight = 1.0;
         }
-        let fresh = entry.born > 0 && entry.born + cold > now;
-        let ramp_from = if fresh { entry.born.min(now) } else { 0 };
+        let fresh = entry.born > 0 && entry.born + self.set.cold > self.now;
+        let ramp_from = if fresh { entry.born.min(self.now) } else { 0 };
         if let Some(server) = self.servers.get_mut(&entry.server) {
-            if entry.state == ListState::Gone && self.set.drain_binds_alone {
-                return;
-            }
             if entry.born != server.listed.born {
                 server.ramp_from = ramp_from.max(server.ramp_from);
             }
-            server.listed = entry;
+            if entry.state != ListState::Gone || !self.set.drain_binds_alone {
+                server.listed = entry;
+            }
             return;
         }
         let home = if first { entry.zone } else { self.zone_most_short(entry.zone) };
-        let next_probe = now + (self.servers.len() as u64 * PROBE_SPREAD) % PROBE_EVERY;
+        let next_probe = self.now + (self.servers.len() as u64 * PROBE_SPREAD) % PROBE_EVERY;
         let server = Server { home, ramp_from, next_probe, eased: 1.0, listed: entry, ..Server::default() };
         self.servers.insert(server.listed.server, server);
     }
@@ -330,8 +313,7 @@
             ProbeOutcome::Full => {}
             _ => (s.oks, s.fails) = (0, s.fails + 1),
         }
-        let every = if s.fails > 0 || s.down { PROBE_SUSPECT } else { PROBE_EVERY };
-        s.next_probe = self.now + every;
+        s.next_probe = self.now + if s.fails > 0 || s.down { PROBE_SUSPECT } else { PROBE_EVERY };
     }
 
     /// A zone whose proxies were all away may have been cut off with its servers: what probes said of those
@@ -420,20 +402,19 @@
         let median = self.median_heat();
         let ids: Vec<_> = self.links.keys().copied().collect();
         for (id, zone) in ids {
-            let held = self.servers.values().filter(|s| s.home == zone && self.ready(s)).count();
-            let out = self.servers.values().filter(|s| s.home == zone && self.ready(s));
-            let out = out.filter(|s| !self.usable(s, zone)).count();
+            let held = self.servers.values().filter(|s| s.home == zone && self.ready(s));
+            let (held, fit) = (held.clone().count(), held.filter(|s| self.usable(s, zone)).count());
             let Some(server) = self.servers.get_mut(&id) else { continue };
             let Some(link) = self.links.get_mut(&(id, zone)) else { continue };
             if let Some(until) = link.out_until {
                 if self.now >= until && server.fails == 0 {
                     *link = Link { strikes: link.strikes, at: self.now, ..Link::default() };
-                    server.ramp_from = server.ramp_from.max(self.now.saturating_sub(RAMP / 3));
+                    server.ramp_from = server.ramp_from.max(self.now.saturating_sub(BACK));
                     self.out.push(Action::Log(format!("try {id:?} again")));
                 }
                 continue;
             }
-            if link.failed_run >= MIN_TRIES && median < JAM && (out + 1) * 2 <= held {
+            if link.failed_run >= MIN_TRIES && median < JAM && fit * 2 > held {
                 link.out_until = Some(self.now + (HOLD << link.strikes.min(8)).min(HOLD_MAX));
                 link.strikes += 1;
                 let run = link.failed_run;
@@ -488,11 +469,10 @@
         let known = self.links.values().filter(|l| l.at >= recent && l.out_until.is_none());
         let mut heats: Vec<(f64, f64)> = known.map(|l| (l.heat(), l.tries)).collect();
         heats.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let half = heats.iter().map(|h| h.1).sum::<f64>() / 2.0;
-        let mut seen = 0.0;
+        let mut left = heats.iter().map(|h| h.1).sum::<f64>() / 2.0;
         let middle = heats.iter().find(|(_, tries)| {
-            seen += tries;
-            seen >= half
+            left -= tries;
+            left <= 0.0
         });
         middle.map_or(0.0, |h| h.0)
     }
@@ -518,12 +498,12 @@
     }
 
     fn resend(&self, class: &Class) -> Resend {
-        let keyed_fits = class.group == Group::All && class.deadline <= class.window;
-        match class.effect {
-            Effect::ReadLike if self.heat < RETRY_HEAT => Resend::Once,
-            Effect::IdempotencyKey if keyed_fits && self.heat < RETRY_HEAT => Resend::Once,
-            _ => Resend::Unsent,
-        }
+        let safe = match class.effect {
+            Effect::ReadLike => true,
+            Effect::IdempotencyKey => class.group == Group::All && class.deadline <= class.window,
+            Effect::NonIdempotent => false,
+        };
+        if safe && self.heat < RETRY_HEAT { Resend::Once } else { Resend::Unsent }
     }
 
     fn levels(&self, users: &[ProxyId]) -> BTreeMap<ClassId, (Resend, f64)> {
@@ -546,11 +526,8 @@
 
     /// The share of its weight that a server has earned since its start or return.
     fn ramp(&self, server: &Server) -> f64 {
-        if server.ramp_from == 0 {
-            return 1.0;
-        }
         let age = self.now.saturating_sub(server.ramp_from) as f64 / RAMP as f64;
-        (START_SHARE + (1.0 - START_SHARE) * age).min(1.0)
+        if server.ramp_from == 0 { 1.0 } else { (START_SHARE + (1.0 - START_SHARE) * age).min(1.0) }
     }
 
     /// Each zone's share of the load that our proxies report; of our joined proxies until they report.
@@ -597,7 +574,8 @@
             self.servers.values_mut().for_each(|s| s.home = s.listed.zone);
             return;
         }
-        while let Some((id, zone)) = self.loan().or_else(|| self.homecoming()) {
+        for _ in 0..self.servers.len() {
+            let Some((id, zone)) = self.loan().or_else(|| self.homecoming()) else { break };
             self.servers.entry(id).and_modify(|s| s.home = zone);
         }
     }
@@ -675,28 +653,21 @@
         ramp.min(COLD_MARGIN * self.set.fall_multiple * capacity / push.max(1e-9)).max(START_SHARE / 4.0)
     }
 
+    /// Sends what has changed, for each zone that has joined proxies.
     fn publish(&mut self) {
-        if !self.servers.values().any(|s| self.ready(s)) && self.tables.is_empty() {
-            return;
-        }
         let shares = self.shares();
-        let zones: BTreeSet<ZoneId> = self.proxies.values().filter(|p| p.joined).map(|p| p.zone).collect();
-        let mut done = BTreeSet::new();
-        for zone in zones {
-            let id = self.table_of(zone);
-            if done.insert(id) {
-                let share = if self.zoned { shares.get(&zone).copied().unwrap_or(0.0) } else { 1.0 };
-                self.publish_table(id, self.plan(zone, share));
-            }
+        let joined: BTreeSet<_> = self.proxies.values().filter(|p| p.joined).map(|p| p.zone).collect();
+        for zone in joined.into_iter().take(if self.zoned { usize::MAX } else { 1 }) {
+            let share = if self.zoned { shares[&zone] } else { 1.0 };
+            self.publish_table(self.table_of(zone), self.plan(zone, share));
         }
     }
 
     fn publish_table(&mut self, id: TableId, plan: BTreeMap<ServerId, f64>) {
         let mine = self.proxies.iter().filter(|(_, p)| p.joined && self.table_of(p.zone) == id);
         let everyone: Vec<ProxyId> = mine.map(|(id, _)| *id).collect();
-        let bound = |p: &(&ProxyId, &Proxy)| p.1.joined && p.1.bound == Some(id);
-        let users: Vec<ProxyId> = self.proxies.iter().filter(bound).map(|(id, _)| *id).collect();
-        let joining = everyone.iter().copied().filter(|p| !users.contains(p)).collect::<Vec<_>>();
+        let is_bound = |p: &ProxyId| self.proxies[p].bound == Some(id);
+        let (users, joining): (Vec<_>, Vec<_>) = everyone.iter().copied().partition(is_bound);
         let levels = self.levels(&everyone);
         let (lines, urgency) = self.changes(id, &plan);
         let table = self.tables.entry(id).or_default();
@@ -709,30 +680,26 @@
             self.charge(&users, change);
         }
         for proxy in joining {
-            let fresh = self.proxies[&proxy].bound.is_none();
-            let urgency = if fresh { Urgency::Drain } else { Urgency::Calm };
+            let urgency = if self.proxies[&proxy].bound.is_none() { DRAIN } else { CALM };
             if !self.tables[&id].lines.is_empty() && self.may_send(urgency, 0, &[proxy], size) {
                 self.out.push(Action::Bind { proxy, table: id });
                 self.charge(&[proxy], size);
-                if let Some(p) = self.proxies.get_mut(&proxy) {
-                    p.bound = Some(id);
-                }
+                self.proxies.entry(proxy).and_modify(|p| p.bound = Some(id));
             }
         }
     }
 
     /// The lines that bring a table to its plan, removals first, and how urgent they are.
-    fn changes(&self, id: TableId, plan: &BTreeMap<ServerId, f64>) -> (Vec<(ServerId, f64)>, Urgency) {
-        let Some(Table { lines: laid, .. }) = self.tables.get(&id) else {
-            return (plan.iter().map(|(id, weight)| (*id, *weight)).collect(), Urgency::Calm);
-        };
-        let mut urgency = Urgency::Calm;
+    fn changes(&self, id: TableId, plan: &BTreeMap<ServerId, f64>) -> (Lines, f64) {
+        let empty = BTreeMap::new();
+        let laid = self.tables.get(&id).map_or(&empty, |t| &t.lines);
+        let mut urgency = CALM;
         let mut lines = Vec::new();
         for id in laid.keys().filter(|id| !plan.contains_key(id)) {
             urgency = urgency.max(match self.servers.get(id) {
-                Some(s) if self.usable(s, s.home) => Urgency::Calm,
-                Some(s) if self.ready(s) => Urgency::Fault,
-                _ => Urgency::Drain,
+                Some(s) if self.usable(s, s.home) => CALM,
+                Some(s) if self.ready(s) => FAULT,
+                _ => DRAIN,
             });
             lines.push((*id, 0.0));
         }
@@ -740,7 +707,7 @@
         for (id, weight) in plan {
             let old = laid.get(id).copied().unwrap_or(0.0);
             if *weight < old * CUT {
-                urgency = urgency.max(Urgency::Fault);
+                urgency = urgency.max(FAULT);
             }
             if old == 0.0 || (weight - old).abs() > STEP * full {
                 lines.push((*id, *weight));
@@ -749,17 +716,14 @@
         (lines, urgency)
     }
 
-    fn order(&mut self, id: TableId, lines: Vec<(ServerId, f64)>, valves: Vec<(ClassId, (Resend, f64))>) {
+    fn order(&mut self, id: TableId, lines: Lines, valves: Vec<(ClassId, (Resend, f64))>) {
         let table = self.tables.entry(id).or_default();
         table.sent_at = self.now;
         for (server, weight) in lines {
             self.out.push(Action::Line { table: id, server, weight: weight as f32 });
-            if weight > 0.0 {
-                table.lines.insert(server, weight);
-            } else {
-                table.lines.remove(&server);
-            }
+            table.lines.insert(server, weight);
         }
+        table.lines.retain(|_, weight| *weight > 0.0);
         for (class, (resend, level)) in valves {
             self.out.push(Action::Level { table: id, class, resend, level: level as f32 });
             table.levels.insert(class, (resend, level));
@@ -769,34 +733,28 @@
     // ---- the channel
 
     /// Channel ledger: lines waiting and messages a proxy, with a reserve for withdrawals and drains.
-    fn may_send(&self, urgency: Urgency, sent_at: Micros, to: &[ProxyId], lines: usize) -> bool {
-        let part = match urgency {
-            Urgency::Calm => CALM_PART,
-            Urgency::Fault => FAULT_PART,
-            Urgency::Drain => 1.0,
-        };
+    fn may_send(&self, urgency: f64, sent_at: Micros, to: &[ProxyId], lines: usize) -> bool {
         let cost = to.len() as f64 * (lines as f64 + self.set.message_head);
-        if self.backlog + cost > self.set.pending_max * PENDING_PART * part && !to.is_empty() {
+        if self.backlog + cost > self.set.pending_max * PENDING_PART * urgency && !to.is_empty() {
             return false;
         }
-        let limit = (f64::from(self.set.messages_max) * part).floor();
+        let limit = (f64::from(self.set.messages_max) * urgency).floor();
         let since = self.now.saturating_sub(self.set.message_window);
         let written = |p: &ProxyId| self.proxies[p].messages.iter().filter(|at| **at >= since).count() as f64;
         if limit > 0.0 && to.iter().any(|p| written(p) >= limit) {
             return false;
         }
         let turn = if limit > 0.0 { TURN.max(self.set.message_window / (limit as u64 + 1)) } else { TURN };
-        urgency != Urgency::Calm || to.is_empty() || self.now >= sent_at + turn
+        urgency > CALM || to.is_empty() || self.now >= sent_at + turn
     }
 
     fn charge(&mut self, to: &[ProxyId], lines: usize) {
         let since = self.now.saturating_sub(self.set.message_window);
-        for id in to {
-            let Some(proxy) = self.proxies.get_mut(id) else { continue };
+        for proxy in self.proxies.iter_mut().filter(|(id, _)| to.contains(id)).map(|(_, p)| p) {
             proxy.messages.retain(|at| *at >= since);
             self.backlog += lines as f64;
-            if proxy.messages.back() != Some(&self.now) {
-                proxy.messages.push_back(self.now);
+            if proxy.messages.last() != Some(&self.now) {
+                proxy.messages.push(self.now);
                 self.backlog += self.set.message_head;
             }
         }
@@ -806,37 +764,25 @@
 
     /// A slice keeps its server until that is lost; an exclusive one waits until the last writes are over.
     fn place_slices(&mut self) {
-        let mut held: BTreeMap<ServerId, usize> = BTreeMap::new();
-        for table in self.tables.values() {
-            table.lines.keys().for_each(|id| *held.entry(*id).or_default() += 1);
-        }
-        let settle = if self.set.single_writer {
-            self.set.keeps_writing.max(self.set.in_flight_max) + self.set.transit_max
-        } else {
-            0
-        };
-        for (slice, free_at) in std::mem::take(&mut self.slices) {
-            let mut free_at = free_at;
-            let table = self.tables.entry(slice).or_default();
-            let servers = &self.servers;
-            let lost = |id: &ServerId| servers.get(id).is_none_or(|s| s.listed.state != ListState::Ready);
-            for id in table.lines.keys().copied().filter(lost).collect::<Vec<_>>() {
-                table.lines.remove(&id);
-                free_at = self.now;
-                self.out.push(Action::Line { table: slice, server: id, weight: 0.0 });
+        let ready: Vec<_> = self.servers.values().filter(|s| self.ready(s)).collect();
+        let ids: BTreeSet<_> = ready.iter().map(|s| s.listed.server).collect();
+        let over = self.set.keeps_writing.max(self.set.in_flight_max) + self.set.transit_max;
+        let settle = if self.set.single_writer { over } else { 0 };
+        for (slice, free_at) in &mut self.slices {
+            let lines = &mut self.tables.entry(*slice).or_default().lines;
+            for lost in lines.extract_if(.., |id, _| !ids.contains(id)) {
+                *free_at = self.now;
+                self.out.push(Action::Line { table: *slice, server: lost.0, weight: 0.0 });
+            }
+            if !lines.is_empty() || self.now < *free_at + settle {
+                continue;
             }
-            let usable = servers.values().filter(|s| s.listed.state == ListState::Ready && !s.down);
-            let best =
-                usable.min_by_key(|s| (s.ramp_from > 0, held.get(&s.listed.server).copied().unwrap_or(0)));
-            if let Some(server) = best.map(|s| s.listed.server)
-                && table.lines.is_empty()
-                && self.now >= free_at + settle
-            {
-                table.lines.insert(server, 1.0);
-                *held.entry(server).or_default() += 1;
-                self.out.push(Action::Line { table: slice, server, weight: 1.0 });
+            let held = |id| self.tables.values().filter(|t| t.lines.contains_key(&id)).count();
+            let best = ready.iter().min_by_key(|s| (s.down, s.ramp_from > 0, held(s.listed.server)));
+            if let Some(server) = best.map(|s| s.listed.server) {
+                self.tables.entry(*slice).or_default().lines.insert(server, 1.0);
+                self.out.push(Action::Line { table: *slice, server, weight: 1.0 });
             }
-            self.slices.insert(slice, free_at);
         }
     }
 }
