--- a/src/policy.rs
+++ b/src/policy.rs
@@ -581,7 +581,8 @@
         let recent = self.recent();
         let met = self.links.values().filter(|l| l.at >= recent);
         let (tries, errors) = met.fold((0.0, 0.0), |(t, e), l| (t + l.tries, e + l.errors));
-        (tries / (tries - errors).max(1.0)).clamp(SURGE, MOST_PRESSURE)
+        let least = if self.heat > COOL { MOST_PRESSURE } else { SURGE };
+        (tries / (tries - errors).max(1.0)).clamp(least, MOST_PRESSURE)
     }
 
     /// Cold budget: a server's part stays under what it can take since its start, were the fleet fully
