--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,7 +29,7 @@
 /// Cold budget: the part of it that may be used; tries for an answer that it reckons with at least, as a jam
 /// is seen seconds late, and at most, beyond which answers fail rather than load grows.
 const COLD_MARGIN: f64 = 0.75;
-const SURGE: f64 = 2.5;
+const SURGE: f64 = 4.0;
 const MOST_PRESSURE: f64 = 6.0;
 /// A zone table with ramping servers and this many times the fleet's load for its count spills over all zones
 /// at once: lending moves too slowly, or not at all, when a zone comes back cold.
@@ -82,7 +82,7 @@
 /// Weight and level changes under this part are not worth a message; a cut below `CUT` cannot wait for a
 /// turn.
 const STEP: f64 = 0.08;
-const CUT: f64 = 0.5;
+const CUT: f64 = 0.75;
 /// Span between ordinary changes to a table where messages are not limited.
 const TURN: Micros = 500_000;
 /// Urgency of a change: the part of the channel's and the message limit that it may use.
