--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,13 +23,16 @@
 const LEFT_KEEPS: Micros = 20_000_000;
 /// Slow start: a tenth of the weight, full after ten seconds. What only failed tries, not probes, starts at
 /// `BACK` of that span: it has not restarted and is warm.
+/// A server that has started gets nothing for the first part of its cold time: proxies avoid jammed servers after
+/// a run of failures, and a jam would hand their part to it within a second, whatever its weight.
+const HOLD_OFF: f64 = 0.3;
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
 const BACK: Micros = RAMP / 3;
 /// Cold budget: the part of it that may be used; tries for an answer that it reckons with at least, as a jam
 /// is seen seconds late, and at most, beyond which answers fail rather than load grows.
 const COLD_MARGIN: f64 = 0.75;
-const SURGE: f64 = 4.0;
+const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
 /// A zone table with ramping servers and this many times the fleet's load for its count spills over all zones
 /// at once: lending moves too slowly, or not at all, when a zone comes back cold.
@@ -238,7 +241,8 @@
             entry.weight = 1.0;
         }
         let fresh = entry.born > 0 && entry.born + self.set.cold > self.now;
-        let ramp_from = if fresh { entry.born.min(self.now) } else { 0 };
+        let warmed = entry.born + (self.set.cold as f64 * HOLD_OFF) as Micros;
+        let ramp_from = if fresh { warmed } else { 0 };
         if let Some(server) = self.servers.get_mut(&entry.server) {
             if entry.born != server.listed.born {
                 server.ramp_from = ramp_from.max(server.ramp_from);
@@ -309,7 +313,11 @@
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
         let out = |link: &Link| link.out_until.is_some();
-        self.ready(server) && !server.down && !self.links.get(&(server.listed.server, zone)).is_some_and(out)
+        let started = self.now >= server.ramp_from;
+        started
+            && self.ready(server)
+            && !server.down
+            && !self.links.get(&(server.listed.server, zone)).is_some_and(out)
     }
 
     fn judge(&mut self) {
@@ -333,7 +341,7 @@
         for server in self.servers.values_mut() {
             if server.down && (server.oks >= PROBES_BACK || !trusted) {
                 server.down = false;
-                server.ramp_from = self.now;
+                server.ramp_from = server.ramp_from.max(self.now);
                 self.out.push(Action::Log(format!("return {:?}", server.listed.server)));
             } else if !server.down && trusted && server.fails >= PROBES_OUT && server.answered_at < heard {
                 server.down = true;
