--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,9 +25,9 @@
 /// `BACK` of that span: it has not restarted and is warm.
 /// A server that has started gets nothing for the first part of its cold time: proxies avoid jammed servers after
 /// a run of failures, and a jam would hand their part to it within a second, whatever its weight.
-const HOLD_OFF: f64 = 0.3;
+const HOLD_OFF: f64 = 0.2;
 const START_SHARE: f64 = 0.1;
-const RAMP: Micros = 10_000_000;
+const RAMP: Micros = 8_000_000;
 const BACK: Micros = RAMP / 3;
 /// Cold budget: the part of it that may be used; tries for an answer that it reckons with at least, as a jam
 /// is seen seconds late, and at most, beyond which answers fail rather than load grows.
