Withhold cold servers for half of their cold time while the fleet is hot

Cause: in a jam proxies avoid servers after a run of failures, and a cold one takes their part whatever its weight. Also guards servers returning from a zone loss. May harm a release under overload: capacity comes back later.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,9 +25,10 @@
 /// `BACK` of that span: it has not restarted and is warm.
 /// A server that has started gets nothing for the first part of its cold time: proxies avoid jammed servers after
 /// a run of failures, and a jam would hand their part to it within a second, whatever its weight.
-const HOLD_OFF: f64 = 0.2;
+const HOLD_OFF: f64 = 0.12;
+const HOT_HOLD_OFF: f64 = 0.5;
 const START_SHARE: f64 = 0.1;
-const RAMP: Micros = 8_000_000;
+const RAMP: Micros = 10_000_000;
 const BACK: Micros = RAMP / 3;
 /// Cold budget: the part of it that may be used; tries for an answer that it reckons with at least, as a jam
 /// is seen seconds late, and at most, beyond which answers fail rather than load grows.
@@ -313,7 +314,9 @@
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
         let out = |link: &Link| link.out_until.is_some();
-        let started = self.now >= server.ramp_from;
+        let cold =
+            server.listed.born > 0 && self.warmth(server) < if self.heat > COOL { HOT_HOLD_OFF } else { 0.0 };
+        let started = self.now >= server.ramp_from && !cold;
         started
             && self.ready(server)
             && !server.down
@@ -593,16 +596,21 @@
         (tries / (tries - errors).max(1.0)).clamp(least, MOST_PRESSURE)
     }
 
+    /// How much of its cold time has passed.
+    fn warmth(&self, server: &Server) -> f64 {
+        self.now.saturating_sub(server.listed.born) as f64 / self.set.cold.max(1) as f64
+    }
+
     /// Cold budget: a server's part stays under what it can take since its start, were the fleet fully
     /// loaded. Guards against rolling deploys and zones that come back cold. Harm: a cold zone stays slow for
     /// longer.
     fn spared(&self, server: &Server, push: f64) -> f64 {
         let ramp = self.ramp(server);
-        let age = self.now.saturating_sub(server.listed.born) as f64 / self.set.cold.max(1) as f64;
-        if server.listed.born == 0 || age >= 1.0 {
+        let warmth = self.warmth(server);
+        if server.listed.born == 0 || warmth >= 1.0 {
             return ramp;
         }
-        let capacity = self.set.start_capacity + (1.0 - self.set.start_capacity) * age;
+        let capacity = self.set.start_capacity + (1.0 - self.set.start_capacity) * warmth;
         ramp.min(COLD_MARGIN * self.set.fall_multiple * capacity / push.max(1e-9)).max(START_SHARE / 4.0)
     }
 
