--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,7 +26,7 @@
 /// A server that has started gets nothing for the first part of its cold time: proxies avoid jammed servers after
 /// a run of failures, and a jam would hand their part to it within a second, whatever its weight.
 const HOLD_OFF: f64 = 0.12;
-const HOT_HOLD_OFF: f64 = 0.5;
+const HOT_HOLD_OFF: f64 = 1.0;
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
 const BACK: Micros = RAMP / 3;
