--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,7 +26,6 @@
 /// A server that has started gets nothing for the first part of its cold time: proxies avoid jammed servers after
 /// a run of failures, and a jam would hand their part to it within a second, whatever its weight.
 const HOLD_OFF: f64 = 0.12;
-const HOT_HOLD_OFF: f64 = 1.0;
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
 const BACK: Micros = RAMP / 3;
@@ -314,8 +313,7 @@
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
         let out = |link: &Link| link.out_until.is_some();
-        let cold =
-            server.listed.born > 0 && self.warmth(server) < if self.heat > COOL { HOT_HOLD_OFF } else { 0.0 };
+        let cold = server.listed.born > 0 && self.warmth(server) < 1.0 && self.heat > JAM;
         let started = self.now >= server.ramp_from && !cold;
         started
             && self.ready(server)
@@ -436,7 +434,7 @@
     fn set_shedding(&mut self) {
         self.heat = self.median_heat();
         if self.heat > HOT && self.now >= self.hold_until {
-            self.shed += SHED_STEP;
+            self.shed += SHED_STEP * (self.heat / HOT).powi(2);
             self.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
         } else if self.heat < COOL {
             self.shed -= ADMIT_PACE * self.span * (COOL - self.heat);
