--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,7 @@
 /// A server that has started gets nothing for the first part of its cold time: proxies avoid jammed servers after
 /// a run of failures, and a jam would hand their part to it within a second, whatever its weight.
 const HOLD_OFF: f64 = 0.12;
+const YOUNG: f64 = 0.5;
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
 const BACK: Micros = RAMP / 3;
@@ -313,8 +314,8 @@
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
         let out = |link: &Link| link.out_until.is_some();
-        let cold = server.listed.born > 0 && self.warmth(server) < 1.0 && self.heat > JAM;
-        let started = self.now >= server.ramp_from && !cold;
+        let young = server.listed.born > 0 && self.warmth(server) < YOUNG && self.heat > JAM;
+        let started = self.now >= server.ramp_from && !young;
         started
             && self.ready(server)
             && !server.down
@@ -455,7 +456,11 @@
             Effect::IdempotencyKey => class.group == Group::All && class.deadline <= class.window,
             Effect::NonIdempotent => false,
         };
-        if safe && self.heat < RETRY_HEAT { Resend::Once } else { Resend::Unsent }
+        match self.heat {
+            heat if heat > HOT => Resend::Never,
+            heat if heat < RETRY_HEAT && safe => Resend::Once,
+            _ => Resend::Unsent,
+        }
     }
 
     fn levels(&self, users: &[ProxyId]) -> BTreeMap<ClassId, (Resend, f64)> {
