--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,8 +11,7 @@
 /// Zone tables come on at this many servers a zone, and go off at `ZONED_OFF`: the gap stops flapping.
 const ZONED_ON: usize = 4;
 const ZONED_OFF: usize = 2;
-/// A zone borrows when it expects this many times what it holds (the talk's 25%), and gives back under
-/// `RETURN`.
+/// A zone borrows when it expects so many times what it holds (the talk's 25%), and gives back at `RETURN`.
 const OVERLOAD: f64 = 1.25;
 const RETURN: f64 = 1.05;
 /// No lending so soon after the start: the first joins and reports say little of the zones' shares.
@@ -21,24 +20,24 @@
 const SHARE_GAIN: f64 = 0.3;
 /// A proxy that left keeps its load this long: it goes on sending by its tables.
 const LEFT_KEEPS: Micros = 20_000_000;
-/// Slow start: a tenth of the weight, full after ten seconds. What only failed tries, not probes, starts at
-/// `BACK` of that span: it has not restarted and is warm.
-/// A server that has started gets nothing for the first part of its cold time: proxies avoid jammed servers after
-/// a run of failures, and a jam would hand their part to it within a second, whatever its weight.
-const HOLD_OFF: f64 = 0.12;
-const YOUNG: f64 = 0.5;
+/// Slow start: a tenth of the weight, full after ten seconds; a server that failed tries but no probes has
+/// not restarted and starts at `BACK` of that span.
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
 const BACK: Micros = RAMP / 3;
-/// Cold budget: the part of it that may be used; tries for an answer that it reckons with at least, as a jam
-/// is seen seconds late, and at most, beyond which answers fail rather than load grows.
+/// Parts of its cold time in which a server gets nothing: at its start, and while the fleet is jammed, when
+/// proxies avoid servers after a run of failures and a cold one gets their part, whatever its weight.
+const HOLD_OFF: f64 = 0.12;
+const YOUNG: f64 = 0.5;
+/// Cold budget: the part of it that may be used, and the tries for an answer that it reckons with: at least
+/// `SURGE`, as a jam is seen seconds late; beyond the most, answers fail rather than load grows.
 const COLD_MARGIN: f64 = 0.75;
 const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
 /// A zone table with ramping servers and this many times the fleet's load for its count spills over all zones
 /// at once: lending moves too slowly, or not at all, when a zone comes back cold.
 const SPILL: f64 = 2.0;
-/// The module looks at the clock this often without events.
+/// The module wakes this often.
 const TICK: Micros = 250_000;
 /// Probes: spans between those of a server in good standing and of one under suspicion, between the first
 /// ones of a list, and until one without a result is given up.
@@ -77,17 +76,15 @@
 const COOL: f64 = 0.45;
 const ADMIT_PACE: f64 = 0.25;
 const LEAST_ADMITTED: f64 = 0.15;
-/// Draws that a client makes for a request, each let in or refused anew; and a rate that lets everything in.
+/// Draws that a client makes for a request, each let in or refused; a rate that lets all in.
 const DRAWS: f64 = 3.0;
 const OPEN_RATE: f64 = 1e6;
-/// Proxies repeat what may have run only while the median heat is under this: once queues form, the repeats
-/// of what waited too long feed the queues.
+/// Proxies repeat what may have run only under this median heat: once queues form, repeats feed them.
 const RETRY_HEAT: f64 = 0.35;
-/// Weight and level changes under this part are not worth a message; a cut below `CUT` cannot wait for a
-/// turn.
+/// Weight and level changes under this part are not worth a message; a cut below `CUT` waits for no turn.
 const STEP: f64 = 0.08;
 const CUT: f64 = 0.75;
-/// Span between ordinary changes to a table where messages are not limited.
+/// Span between ordinary changes to a table, where messages are not limited.
 const TURN: Micros = 500_000;
 /// Urgency of a change: the part of the channel's and the message limit that it may use.
 const CALM: f64 = 0.5;
@@ -181,8 +178,6 @@
         std::mem::take(&mut self.out)
     }
 
-    // ---- what events tell
-
     fn learn(&mut self, event: &Event) {
         match event {
             Event::List { how, entries } => self.learn_list(*how, entries),
@@ -279,9 +274,8 @@
         }
         let before = self.proxies.remove(&proxy).unwrap_or_default();
         let listed_rate = if rate.is_finite() && rate > 0.0 { rate } else { 1.0 };
-        let (rates, usual) = (before.rates, before.usual);
-        let joining = Proxy { zone, joined: true, listed_rate, rates, usual, ..Proxy::default() };
-        self.proxies.insert(proxy, joining);
+        let (joined, bound, messages) = (true, None, Vec::new());
+        self.proxies.insert(proxy, Proxy { zone, joined, listed_rate, bound, messages, ..before });
     }
 
     fn learn_tally(&mut self, server: ServerId, zone: ZoneId, total: f64, errors: f64, latency: f64) {
@@ -306,8 +300,6 @@
         }
     }
 
-    // ---- health
-
     fn ready(&self, server: &Server) -> bool {
         server.listed.state == ListState::Ready
     }
@@ -315,11 +307,8 @@
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
         let out = |link: &Link| link.out_until.is_some();
         let young = server.listed.born > 0 && self.warmth(server) < YOUNG && self.heat > JAM;
-        let started = self.now >= server.ramp_from && !young;
-        started
-            && self.ready(server)
-            && !server.down
-            && !self.links.get(&(server.listed.server, zone)).is_some_and(out)
+        let fit = self.ready(server) && !server.down && self.now >= server.ramp_from && !young;
+        fit && !self.links.get(&(server.listed.server, zone)).is_some_and(out)
     }
 
     fn judge(&mut self) {
@@ -336,9 +325,8 @@
     /// probes the fault is likely on this side, and nobody is withdrawn for it. Harm: a zone cut off together
     /// with its proxies looks dead from here; `learn_join` mends that.
     fn judge_probes(&mut self) {
-        let ready = self.servers.values().filter(|s| self.ready(s)).count();
-        let failing = self.servers.values().filter(|s| self.ready(s) && s.fails >= PROBES_OUT).count();
-        let trusted = failing * 2 <= ready;
+        let ready = self.servers.values().filter(|s| self.ready(s));
+        let trusted = ready.clone().filter(|s| s.fails >= PROBES_OUT).count() * 2 <= ready.count();
         let heard = self.now.saturating_sub(self.set.report_period + self.set.report_period / 2);
         for server in self.servers.values_mut() {
             if server.down && (server.oks >= PROBES_BACK || !trusted) {
@@ -352,8 +340,8 @@
         }
     }
 
-    /// Guards against servers that hang or fail for the proxies of a zone, whatever their probes say. Judged
-    /// against the fleet, so that an overload condemns nobody; at most half of a zone's servers go out.
+    /// Guards against servers that hang or fail for the proxies of a zone, whatever their probes say. An
+    /// overload condemns nobody; at most half of a zone's servers go out.
     fn judge_links(&mut self) {
         let median = self.median_heat();
         let ids: Vec<_> = self.links.keys().copied().collect();
@@ -362,19 +350,16 @@
             let (held, fit) = (held.clone().count(), held.filter(|s| self.usable(s, zone)).count());
             let Some(server) = self.servers.get_mut(&id) else { continue };
             let Some(link) = self.links.get_mut(&(id, zone)) else { continue };
-            if let Some(until) = link.out_until {
-                if self.now >= until && server.fails == 0 {
-                    *link = Link { strikes: link.strikes, at: self.now, ..Link::default() };
-                    server.ramp_from = server.ramp_from.max(self.now.saturating_sub(BACK));
-                    self.out.push(Action::Log(format!("try {id:?} again")));
-                }
-                continue;
+            if link.out_until.is_some_and(|until| self.now >= until) && server.fails == 0 {
+                *link = Link { strikes: link.strikes, at: self.now, ..Link::default() };
+                server.ramp_from = server.ramp_from.max(self.now.saturating_sub(BACK));
+                self.out.push(Action::Log(format!("try {id:?} again")));
             }
-            if link.failed_run >= MIN_TRIES && median < JAM && fit * 2 > held {
+            let condemned = link.out_until.is_none() && link.failed_run >= MIN_TRIES;
+            if condemned && median < JAM && fit * 2 > held {
                 link.out_until = Some(self.now + (HOLD << link.strikes.min(8)).min(HOLD_MAX));
                 link.strikes += 1;
-                let run = link.failed_run;
-                self.out.push(Action::Log(format!("withdraw {id:?}: the last {run} tries failed")));
+                self.out.push(Action::Log(format!("withdraw {id:?}: {} tries failed", link.failed_run)));
             }
         }
     }
@@ -387,16 +372,15 @@
             return;
         }
         self.eased_at = self.now;
-        let median = self.median_heat();
-        let recent = self.recent();
+        let (median, recent) = (self.median_heat(), self.recent());
         for server in self.servers.values_mut() {
             let id = server.listed.server;
             let met = self.links.range((id, ZoneId(0))..=(id, ZoneId(u16::MAX))).map(|(_, l)| l);
             let met = met.filter(|l| l.at >= recent);
             let (heat, tries) = met.fold((0.0, 0.0), |(h, t), l| (h + heat(l) * l.tries, t + l.tries));
-            let heat = heat / tries.max(1e-9);
-            let fair = (SLOW_HEAT.max(median * SLOW) / heat.max(1e-9)).clamp(EASE_LEAST, 1.0);
-            server.eased += EASE_GAIN * (fair - server.eased);
+            let bearable = SLOW_HEAT.max(median * SLOW) * tries;
+            let fair = if heat > bearable { bearable / heat } else { 1.0 };
+            server.eased += EASE_GAIN * (fair.max(EASE_LEAST) - server.eased);
         }
     }
 
@@ -409,8 +393,6 @@
         }
     }
 
-    // ---- levels
-
     /// Reports before this are too old to judge by.
     fn recent(&self) -> Micros {
         self.now.saturating_sub(2 * self.set.report_period + EASE_EVERY)
@@ -479,8 +461,6 @@
         levels
     }
 
-    // ---- zones
-
     /// The share of its weight that a server has earned since its start or return.
     fn ramp(&self, server: &Server) -> f64 {
         let age = self.now.saturating_sub(server.ramp_from) as f64 / RAMP as f64;
@@ -563,8 +543,6 @@
         lent.filter(spared).map(|s| (s.listed.server, s.listed.zone)).next()
     }
 
-    // ---- tables
-
     fn table_of(&self, zone: ZoneId) -> TableId {
         TableId(if self.zoned { zone.0 } else { self.set.zones as u16 })
     }
@@ -574,19 +552,16 @@
         let homed = |s: &&Server| !self.zoned || s.home == zone;
         let usable = || self.servers.values().filter(|s| self.usable(s, zone));
         let mut chosen: Vec<&Server> = usable().filter(homed).collect();
-        if chosen.is_empty() {
+        let fleet: f64 = self.servers.values().filter(|s| self.ready(s)).map(|s| s.listed.weight).sum();
+        let earned = |chosen: &[&Server]| chosen.iter().map(|s| self.count(s)).sum::<f64>().max(1e-9);
+        let cold = chosen.iter().any(|s| self.ramp(s) < 1.0) && share * fleet > SPILL * earned(&chosen);
+        if chosen.is_empty() || cold {
             chosen = usable().collect();
         }
         if chosen.is_empty() {
             chosen = self.servers.values().filter(|s| self.ready(s)).collect();
         }
-        let fleet: f64 = self.servers.values().filter(|s| self.ready(s)).map(|s| s.listed.weight).sum();
-        let push =
-            |chosen: &[&Server]| share * fleet / chosen.iter().map(|s| self.count(s)).sum::<f64>().max(1e-9);
-        if push(&chosen) > SPILL && chosen.iter().any(|s| self.ramp(s) < 1.0) {
-            chosen = usable().collect();
-        }
-        let push = push(&chosen) * self.pressure();
+        let push = share * fleet / earned(&chosen) * self.pressure();
         chosen.iter().map(|s| (s.listed.server, s.listed.weight * s.eased * self.spared(s, push))).collect()
     }
 
@@ -693,8 +668,6 @@
         }
     }
 
-    // ---- the channel
-
     /// Channel ledger: lines waiting and messages a proxy, with a reserve for withdrawals and drains.
     fn may_send(&self, urgency: f64, sent_at: Micros, to: &[ProxyId], lines: usize) -> bool {
         let cost = to.len() as f64 * (lines as f64 + self.set.message_head);
@@ -724,8 +697,6 @@
         }
     }
 
-    // ---- sites with slices
-
     /// A slice keeps its server until that is lost; an exclusive one waits until the last writes are over.
     fn place_slices(&mut self) {
         let ready: Vec<_> = self.servers.values().filter(|s| self.ready(s)).collect();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -70,11 +70,13 @@
 }
 
 #[test]
-fn a_new_server_joins_its_zone_with_a_tenth_and_ramps() {
+fn a_new_server_joins_its_zone_after_a_hold_off_with_a_tenth_and_ramps() {
     let mut site = Site::running(settings(), 12);
     let new = ListEntry { born: site.now, ..entry(12, 0) };
     site.feed(&[list(ListHow::Delta, &[new])]);
     site.pass(SECOND, |_| Vec::new());
+    assert_eq!(site.weight(0, 12), 0.0, "nothing in the first part of its cold time");
+    site.pass(2 * SECOND, |_| Vec::new());
     let early = site.weight(0, 12);
     assert!(early > 0.0 && early < 0.25, "{early}");
     site.pass(6 * SECOND, |_| Vec::new());
@@ -167,6 +169,8 @@
     let mut site = Site::running(settings(), 12);
     site.pass(4 * SECOND, |_| good(12, 500_000));
     assert_eq!(site.levels[&(site.bound[&ProxyId(0)], ClassId(0))].0, Resend::Unsent);
+    site.pass(6 * SECOND, |_| good(12, 900_000));
+    assert_eq!(site.levels[&(site.bound[&ProxyId(0)], ClassId(0))].0, Resend::Never);
 }
 
 #[test]
@@ -192,6 +196,20 @@
     assert!(site.weight(2, 2) < 0.3 * site.weight(2, 0));
 }
 
+/// Found on hunted release days: in a jam proxies avoid servers after a run of failures, and a server that has
+/// just started takes their part.
+#[test]
+fn a_jammed_fleet_spares_its_young_servers() {
+    let mut site = Site::running(settings(), 12);
+    site.pass(4 * SECOND, |_| good(12, 1_500_000));
+    let young = ListEntry { born: site.now - 4 * SECOND, ..entry(12, 0) };
+    site.feed(&[list(ListHow::Delta, &[young])]);
+    site.pass(2 * SECOND, |_| good(12, 1_500_000));
+    assert_eq!(site.weight(0, 12), 0.0);
+    site.pass(6 * SECOND, |_| good(12, 200_000));
+    assert!(site.weight(0, 12) > 0.0);
+}
+
 #[test]
 fn no_more_messages_in_the_window_than_allowed_however_much_changes() {
     let set = Settings { messages_max: 12, ..settings() };
