--- a/src/policy.rs
+++ b/src/policy.rs
@@ -76,6 +76,7 @@
 const COOL: f64 = 0.45;
 const ADMIT_PACE: f64 = 0.25;
 const LEAST_ADMITTED: f64 = 0.15;
+const MOST_KEPT: f64 = 0.6;
 /// Draws that a client makes for a request, each let in or refused; a rate that lets all in.
 const DRAWS: f64 = 3.0;
 const OPEN_RATE: f64 = 1e6;
@@ -422,7 +423,7 @@
         } else if self.heat < COOL {
             self.shed -= ADMIT_PACE * self.span * (COOL - self.heat);
         }
-        self.shed = self.shed.clamp(0.0, self.set.classes.len().saturating_sub(1).max(1) as f64);
+        self.shed = self.shed.clamp(0.0, self.set.classes.len().max(2) as f64 - MOST_KEPT);
     }
 
     /// Classes from the least worth for their work up; the aim stands in for the work.
