--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,7 +74,8 @@
 const SHED_STEP: f64 = 0.3;
 const SHED_HOLD: Micros = 2_500_000;
 const COOL: f64 = 0.45;
-const ADMIT_PACE: f64 = 0.25;
+const ADMIT_PACE: f64 = 0.6;
+const WARY_PACE: f64 = 0.12;
 const LEAST_ADMITTED: f64 = 0.15;
 const MOST_KEPT: f64 = 0.6;
 /// Draws that a client makes for a request, each let in or refused; a rate that lets all in.
@@ -144,6 +145,9 @@
     /// Seconds since the last batch.
     span: f64,
     hold_until: Micros,
+    /// What was shed when it last became hot, and whether it has cooled since.
+    mark: f64,
+    cooled: bool,
     ask_at: Option<Micros>,
     ask_wait: Micros,
     out: Vec<Action>,
@@ -153,7 +157,7 @@
     /// A conductor at its start: no list, no proxies, no tables. Nothing needs chance yet.
     pub fn new(set: Settings, _seed: u64, now: Micros) -> Self {
         let ask_at = set.list_on_request.then_some(now);
-        Policy { set, now, started: now, ask_at, ask_wait: ASK_AGAIN, ..Policy::default() }
+        Policy { set, now, started: now, ask_at, ask_wait: ASK_AGAIN, cooled: true, ..Policy::default() }
     }
 
     /// Takes a batch's events and clock, decides once, and gives the orders.
@@ -418,10 +422,15 @@
     fn set_shedding(&mut self) {
         self.heat = self.median_heat();
         if self.heat > HOT && self.now >= self.hold_until {
+            self.mark = if self.cooled { self.shed } else { self.mark };
+            self.cooled = false;
             self.shed += SHED_STEP * (self.heat / HOT).powi(2);
             self.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
         } else if self.heat < COOL {
-            self.shed -= ADMIT_PACE * self.span * (COOL - self.heat);
+            self.cooled = true;
+            let pace = if self.shed > self.mark + SHED_STEP / 2.0 { ADMIT_PACE } else { WARY_PACE };
+            let slow = (self.set.report_period as f64 * 2e-6).max(1.0);
+            self.shed -= pace / slow * self.span * (COOL - self.heat);
         }
         self.shed = self.shed.clamp(0.0, self.set.classes.len().max(2) as f64 - MOST_KEPT);
     }
