--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,9 +62,9 @@
 const FAILED: f64 = 2.0;
 /// A server hotter than this, and than so many times the median, is slow: it keeps the part of its weight by
 /// which it is too hot, at least `EASE_LEAST`, approached in steps of `EASE_GAIN`.
-const SLOW_HEAT: f64 = 0.45;
-const SLOW: f64 = 1.3;
-const EASE_GAIN: f64 = 0.4;
+const SLOW_HEAT: f64 = 0.32;
+const SLOW: f64 = 1.25;
+const EASE_GAIN: f64 = 0.5;
 const EASE_EVERY: Micros = 1_000_000;
 const EASE_LEAST: f64 = 0.2;
 /// Median heat above which a further part of a class is shed; reports need `SHED_HOLD` and two periods to
