--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,10 +61,12 @@
 const EVIDENCE_HALF: f64 = 1_500_000.0;
 const FAILED: f64 = 2.0;
 /// A server hotter than this, and than so many times the median, is slow: it keeps the part of its weight by
-/// which it is too hot, at least `EASE_LEAST`, approached in steps of `EASE_GAIN`.
-const SLOW_HEAT: f64 = 0.36;
+/// which it is too hot, at least `EASE_LEAST`, approached in steps of `EASE_GAIN`. `PRIOR` tries of the median heat are
+/// added to its own, so that a few slow answers move nothing.
+const SLOW_HEAT: f64 = 0.3;
 const SLOW: f64 = 1.2;
-const EASE_GAIN: f64 = 0.35;
+const PRIOR: f64 = 6.0;
+const EASE_GAIN: f64 = 0.5;
 const EASE_EVERY: Micros = 1_000_000;
 const EASE_LEAST: f64 = 0.2;
 /// Median heat above which a further part of a class is shed; reports need `SHED_HOLD` and two periods to
@@ -84,7 +86,7 @@
 /// Proxies repeat what may have run only under this median heat: once queues form, repeats feed them.
 const RETRY_HEAT: f64 = 0.35;
 /// Weight and level changes under this part are not worth a message; a cut below `CUT` waits for no turn.
-const STEP: f64 = 0.15;
+const STEP: f64 = 0.08;
 const CUT: f64 = 0.75;
 /// Span between ordinary changes to a table, where messages are not limited.
 const TURN: Micros = 500_000;
@@ -383,6 +385,7 @@
             let met = self.links.range((id, ZoneId(0))..=(id, ZoneId(u16::MAX))).map(|(_, l)| l);
             let met = met.filter(|l| l.at >= recent);
             let (heat, tries) = met.fold((0.0, 0.0), |(h, t), l| (h + heat(l) * l.tries, t + l.tries));
+            let (heat, tries) = (heat + median * PRIOR, tries + PRIOR);
             let bearable = SLOW_HEAT.max(median * SLOW) * tries;
             let fair = if heat > bearable { bearable / heat } else { 1.0 };
             server.eased += EASE_GAIN * (fair.max(EASE_LEAST) - server.eased);
