--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
-use crate::state::{Link, Proxy, Server, Table};
+use crate::state::{ByZone, Link, Proxy, Server, Shedding, Table, Zones};
 
 /// Zone tables come on at this many servers a zone, and go off at `ZONED_OFF`: the gap stops flapping.
 const ZONED_ON: usize = 4;
@@ -61,18 +61,18 @@
 const EVIDENCE_HALF: f64 = 1_500_000.0;
 const FAILED: f64 = 2.0;
 /// A server hotter than this, and than so many times the median, is slow: it keeps the part of its weight by
-/// which it is too hot, at least `EASE_LEAST`, approached in steps of `EASE_GAIN`. `PRIOR` tries of the median heat are
-/// added to its own, so that a few slow answers move nothing.
+/// which it is too hot. A few slow answers move nothing: `PRIOR` tries of the median heat are added.
 const SLOW_HEAT: f64 = 0.3;
 const SLOW: f64 = 1.2;
 const PRIOR: f64 = 6.0;
 const EASE_GAIN: f64 = 0.5;
 const EASE_EVERY: Micros = 1_000_000;
 const EASE_LEAST: f64 = 0.2;
-/// Median heat above which a further part of a class is shed; reports need `SHED_HOLD` and two periods to
-/// show what that did, so there is no further step before. Below `COOL` it comes back, by `ADMIT_PACE` a
-/// second for each unit under. Some of each class is always let in: `LEAST_ADMITTED`.
-const HOT: f64 = 0.7;
+/// Median heat above which a further part of a class is shed, by its square, and no further before reports
+/// can show it (`SHED_HOLD` and two periods). Below `COOL` it comes back by a pace a second for each unit
+/// under: fast down to what was shed when it last became hot, then warily. `LEAST_ADMITTED` of each class is
+/// let in, and `MOST_KEPT` of the class worth most.
+const HOT: f64 = 0.8;
 const SHED_STEP: f64 = 0.3;
 const SHED_HOLD: Micros = 2_500_000;
 const COOL: f64 = 0.45;
@@ -106,15 +106,8 @@
     (link.time + FAILED * link.errors) / link.tries.max(1e-9)
 }
 
-type ByZone = BTreeMap<ZoneId, f64>;
 type Lines = Vec<(ServerId, f64)>;
 
-/// Servers by zone, counted as `Policy::count` does.
-struct Zones {
-    expected: ByZone,
-    held: ByZone,
-}
-
 impl Zones {
     fn spare(&self, zone: ZoneId) -> f64 {
         self.held.get(&zone).unwrap_or(&0.0) - self.expected.get(&zone).unwrap_or(&0.0)
@@ -143,13 +136,9 @@
     backlog: f64,
     heat: f64,
     eased_at: Micros,
-    shed: f64,
+    shed: Shedding,
     /// Seconds since the last batch.
     span: f64,
-    hold_until: Micros,
-    /// What was shed when it last became hot, and whether it has cooled since.
-    mark: f64,
-    cooled: bool,
     ask_at: Option<Micros>,
     ask_wait: Micros,
     out: Vec<Action>,
@@ -159,7 +148,7 @@
     /// A conductor at its start: no list, no proxies, no tables. Nothing needs chance yet.
     pub fn new(set: Settings, _seed: u64, now: Micros) -> Self {
         let ask_at = set.list_on_request.then_some(now);
-        Policy { set, now, started: now, ask_at, ask_wait: ASK_AGAIN, cooled: true, ..Policy::default() }
+        Policy { set, now, started: now, ask_at, ask_wait: ASK_AGAIN, ..Policy::default() }
     }
 
     /// Takes a batch's events and clock, decides once, and gives the orders.
@@ -202,7 +191,7 @@
                 let seen = f64::from(*total) * 1e6 / *period as f64;
                 let rate = p.rates.entry(*class).or_insert(seen);
                 *rate += SHARE_GAIN * (seen - *rate);
-                if self.shed == 0.0 || !p.usual.contains_key(class) {
+                if self.shed.part == 0.0 || !p.usual.contains_key(class) {
                     p.usual.insert(*class, *rate);
                 }
             }
@@ -420,29 +409,28 @@
         middle.map_or(0.0, |h| h.0)
     }
 
-    /// Guards against real overload: most servers answer late or not at all. Sheds the least worth first, and
-    /// never the class worth most: if all others are shed and it is still hot, load is not the trouble.
+    /// Guards against real overload: most servers answer late or not at all. Sheds the least worth first.
     fn set_shedding(&mut self) {
         self.heat = self.median_heat();
-        if self.heat > HOT && self.now >= self.hold_until {
-            self.mark = if self.cooled { self.shed } else { self.mark };
-            self.cooled = false;
-            self.shed += SHED_STEP * (self.heat / HOT).powi(2);
-            self.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
+        if self.heat > HOT && self.now >= self.shed.hold_until {
+            self.shed.mark = if self.shed.hot { self.shed.mark } else { self.shed.part };
+            self.shed.hot = true;
+            self.shed.part += SHED_STEP * (self.heat / HOT).powi(2);
+            self.shed.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
         } else if self.heat < COOL {
-            self.cooled = true;
-            let pace = if self.shed > self.mark + SHED_STEP / 2.0 { ADMIT_PACE } else { WARY_PACE };
-            let slow = (self.set.report_period as f64 * 2e-6).max(1.0);
-            self.shed -= pace / slow * self.span * (COOL - self.heat);
+            self.shed.hot = false;
+            let pace = if self.shed.part > self.shed.mark + SHED_STEP / 2.0 { ADMIT_PACE } else { WARY_PACE };
+            let seldom = (self.set.report_period as f64 * 2e-6).max(1.0);
+            self.shed.part -= pace / seldom * self.span * (COOL - self.heat);
         }
-        self.shed = self.shed.clamp(0.0, self.set.classes.len().max(2) as f64 - MOST_KEPT);
+        self.shed.part = self.shed.part.clamp(0.0, self.set.classes.len().max(2) as f64 - MOST_KEPT);
     }
 
     /// Classes from the least worth for their work up; the aim stands in for the work.
     fn admitted(&self, class: usize) -> f64 {
         let value = |k: usize| self.set.classes[k].worth / self.set.classes[k].aim.max(1) as f64;
         let rank = (0..self.set.classes.len()).filter(|&k| value(k) < value(class)).count() as f64;
-        (1.0 - (self.shed - rank).clamp(0.0, 1.0)).max(LEAST_ADMITTED)
+        (1.0 - (self.shed.part - rank).clamp(0.0, 1.0)).max(LEAST_ADMITTED)
     }
 
     fn resend(&self, class: &Class) -> Resend {
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,3 +77,27 @@
     /// When it was last changed.
     pub sent_at: Micros,
 }
+
+/// How much is shed.
+#[derive(Default)]
+pub(crate) struct Shedding {
+    /// Classes shed, from the least worth up, the last in part.
+    pub part: f64,
+    /// What was shed when the fleet last became hot.
+    pub mark: f64,
+    /// True: it has not cooled since.
+    pub hot: bool,
+    /// No further step before this.
+    pub hold_until: Micros,
+}
+
+/// A number for each zone.
+pub(crate) type ByZone = BTreeMap<ZoneId, f64>;
+
+/// Servers by zone.
+pub(crate) struct Zones {
+    /// As many as its share of the load asks for.
+    pub expected: ByZone,
+    /// Those in its table.
+    pub held: ByZone,
+}
