Trust probes while the near servers answer them

Cause: in a zone cut two thirds of the fleet failed their probes, the evidence was distrusted and servers out of reach were lent to the conductor's own zone.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,7 +72,7 @@
 /// can show it (`SHED_HOLD` and two periods). Below `COOL` it comes back by a pace a second for each unit
 /// under: fast down to what was shed when it last became hot, then warily. `LEAST_ADMITTED` of each class is
 /// let in, and `MOST_KEPT` of the class worth most.
-const HOT: f64 = 0.8;
+const HOT: f64 = 0.7;
 const SHED_STEP: f64 = 0.3;
 const SHED_HOLD: Micros = 2_500_000;
 const COOL: f64 = 0.45;
@@ -318,11 +318,16 @@
     }
 
     /// Guards against servers that are gone, silent or cut off from here. When most of the fleet fails its
-    /// probes the fault is likely on this side, and nobody is withdrawn for it. Harm: a zone cut off together
+    /// probes, the near ones too, the fault is likely on this side, and nobody is withdrawn for it. Harm: a zone cut off together
     /// with its proxies looks dead from here; `learn_join` mends that.
     fn judge_probes(&mut self) {
-        let ready = self.servers.values().filter(|s| self.ready(s));
-        let trusted = ready.clone().filter(|s| s.fails >= PROBES_OUT).count() * 2 <= ready.count();
+        let few_fail = |near: bool| {
+            let near = |s: &&Server| self.ready(s) && (!near || s.listed.zone == self.set.my_zone);
+            let asked = self.servers.values().filter(near);
+            let fail = asked.clone().filter(|s| s.fails >= PROBES_OUT).count();
+            asked.count() >= (2 * fail).max(1)
+        };
+        let trusted = few_fail(false) || few_fail(true);
         let heard = self.now.saturating_sub(self.set.report_period + self.set.report_period / 2);
         for server in self.servers.values_mut() {
             if server.down && (server.oks >= PROBES_BACK || !trusted) {
