--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,7 +1,7 @@
 //! Every decision of stepspur. The types that it takes and gives are in `src/interface.rs`.
 //!
-//! Read top-down: [`Policy::decide`] takes a batch of events and the clock, learns from the events, judges
-//! the servers' health, cuts the zone tables of docs/design.md and sends what has changed.
+//! Read top-down: [`Policy::decide`] learns from a batch of events, judges the servers' health, cuts the zone
+//! tables of docs/design.md and sends what has changed.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -14,7 +14,7 @@
 /// A zone borrows when it expects so many times what it holds (the talk's 25%), and gives back at `RETURN`.
 const OVERLOAD: f64 = 1.25;
 const RETURN: f64 = 1.05;
-/// No lending so soon after the start: the first joins and reports say little of the zones' shares.
+/// No lending so soon after the start: the first joins and reports say little.
 const SETTLE: Micros = 2_500_000;
 /// Load shares are smoothed with this weight for a new report.
 const SHARE_GAIN: f64 = 0.3;
@@ -28,14 +28,13 @@
 /// Parts of its cold time in which a server gets nothing: at its start, and while the fleet is jammed, when
 /// proxies avoid servers after a run of failures and a cold one gets their part, whatever its weight.
 const HOLD_OFF: f64 = 0.12;
-const YOUNG: f64 = 0.5;
+const YOUNG: f64 = 0.65;
 /// Cold budget: the part of it that may be used, and the tries for an answer that it reckons with: at least
 /// `SURGE`, as a jam is seen seconds late; beyond the most, answers fail rather than load grows.
 const COLD_MARGIN: f64 = 0.75;
 const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
-/// A zone table with ramping servers and this many times the fleet's load for its count spills over all zones
-/// at once: lending moves too slowly, or not at all, when a zone comes back cold.
+/// A zone table with ramping servers and so many times the fleet's load for its count spills over all zones.
 const SPILL: f64 = 2.0;
 /// The module wakes this often.
 const TICK: Micros = 250_000;
@@ -48,17 +47,17 @@
 /// Probes failed or answered in a row that take a server out or bring it back.
 const PROBES_OUT: u32 = 3;
 const PROBES_BACK: u32 = 2;
-/// A server that answers this share of its tries is alive, whatever its probes say.
+/// A server that answers this share of its tries is alive.
 const ANSWERS: f64 = 0.3;
-/// So many tries failed without one answered take a server out, unless the median server is as hot as `JAM`:
-/// then all are jammed, and to withdraw some would only bury the rest.
+/// So many tries failed without one answered take a server out, unless the median is as hot as `JAM`: then to
+/// withdraw some would only bury the rest.
 const MIN_TRIES: f64 = 5.0;
 const JAM: f64 = 1.0;
 /// It is tried again after this long, doubling each time up to the cap.
 const HOLD: Micros = 4_000_000;
 const HOLD_MAX: Micros = 30_000_000;
 /// Evidence from tallies halves over this span. A failed try counts as `FAILED` aims of waiting.
-const EVIDENCE_HALF: f64 = 1_500_000.0;
+const EVIDENCE_HALF: f64 = 800_000.0;
 const FAILED: f64 = 2.0;
 /// A server hotter than this, and than so many times the median, is slow: it keeps the part of its weight by
 /// which it is too hot. A few slow answers move nothing: `PRIOR` tries of the median heat are added.
@@ -96,7 +95,7 @@
 const DRAIN: f64 = 0.95;
 /// The ledger reckons with a channel this much slower than told: slow days are not announced.
 const SLOWEST: f64 = 0.2;
-/// Spans before discovery is asked again after a failure (doubling) or without an answer.
+/// Spans before discovery is asked again: after a failure (doubling), without an answer.
 const ASK_AGAIN: Micros = 500_000;
 const ASK_MAX: Micros = 4_000_000;
 const ASK_LOST: Micros = 6_000_000;
@@ -260,8 +259,8 @@
         s.next_probe = self.now + if s.fails > 0 || s.down { PROBE_SUSPECT } else { PROBE_EVERY };
     }
 
-    /// A zone whose proxies were all away may have been cut off with its servers: what probes said of those
-    /// servers across the cut is no evidence for the proxies that come back.
+    /// A zone whose proxies were all away may have been cut off with its servers: what probes said of them
+    /// across the cut is no evidence for the proxies that come back.
     fn learn_join(&mut self, proxy: ProxyId, zone: ZoneId, rate: f64) {
         if !self.proxies.values().any(|p| p.joined && p.zone == zone) {
             for server in self.servers.values_mut().filter(|s| s.listed.zone == zone) {
@@ -317,15 +316,14 @@
         self.proxies.retain(|_, p| p.joined || self.now < p.left_at + LEFT_KEEPS);
     }
 
-    /// Guards against servers that are gone, silent or cut off from here. When most of the fleet fails its
-    /// probes, the near ones too, the fault is likely on this side, and nobody is withdrawn for it. Harm: a zone cut off together
-    /// with its proxies looks dead from here; `learn_join` mends that.
+    /// Guards against servers that are gone, silent or cut off from here. When most fail their probes, the
+    /// near ones too, the fault is likely on this side, and nobody is withdrawn. Harm: a zone cut off with
+    /// its proxies looks dead from here; `learn_join` mends that.
     fn judge_probes(&mut self) {
         let few_fail = |near: bool| {
             let near = |s: &&Server| self.ready(s) && (!near || s.listed.zone == self.set.my_zone);
-            let asked = self.servers.values().filter(near);
-            let fail = asked.clone().filter(|s| s.fails >= PROBES_OUT).count();
-            asked.count() >= (2 * fail).max(1)
+            let fails = self.servers.values().filter(near).map(|s| s.fails >= PROBES_OUT);
+            fails.clone().filter(|fail| !fail).count() * 2 >= fails.count().max(1)
         };
         let trusted = few_fail(false) || few_fail(true);
         let heard = self.now.saturating_sub(self.set.report_period + self.set.report_period / 2);
@@ -341,16 +339,16 @@
         }
     }
 
-    /// Guards against servers that hang or fail for the proxies of a zone, whatever their probes say. An
-    /// overload condemns nobody; at most half of a zone's servers go out.
+    /// Guards against servers that hang or fail for the proxies of a zone, whatever their probes say; at most
+    /// half of a zone's servers go out.
     fn judge_links(&mut self) {
         let median = self.median_heat();
         let ids: Vec<_> = self.links.keys().copied().collect();
         for (id, zone) in ids {
             let held = self.servers.values().filter(|s| s.home == zone && self.ready(s));
             let (held, fit) = (held.clone().count(), held.filter(|s| self.usable(s, zone)).count());
-            let Some(server) = self.servers.get_mut(&id) else { continue };
-            let Some(link) = self.links.get_mut(&(id, zone)) else { continue };
+            let (server, link) = (self.servers.get_mut(&id), self.links.get_mut(&(id, zone)));
+            let (Some(server), Some(link)) = (server, link) else { continue };
             if link.out_until.is_some_and(|until| self.now >= until) && server.fails == 0 {
                 *link = Link { strikes: link.strikes, at: self.now, ..Link::default() };
                 server.ramp_from = server.ramp_from.max(self.now.saturating_sub(BACK));
@@ -379,8 +377,7 @@
             let met = self.links.range((id, ZoneId(0))..=(id, ZoneId(u16::MAX))).map(|(_, l)| l);
             let met = met.filter(|l| l.at >= recent);
             let (heat, tries) = met.fold((0.0, 0.0), |(h, t), l| (h + heat(l) * l.tries, t + l.tries));
-            let (heat, tries) = (heat + median * PRIOR, tries + PRIOR);
-            let bearable = SLOW_HEAT.max(median * SLOW) * tries;
+            let (heat, bearable) = (heat + median * PRIOR, SLOW_HEAT.max(median * SLOW) * (tries + PRIOR));
             let fair = if heat > bearable { bearable / heat } else { 1.0 };
             server.eased += EASE_GAIN * (fair.max(EASE_LEAST) - server.eased);
         }
@@ -395,7 +392,7 @@
         }
     }
 
-    /// Reports before this are too old to judge by.
+    /// Older reports say nothing.
     fn recent(&self) -> Micros {
         self.now.saturating_sub(2 * self.set.report_period + EASE_EVERY)
     }
@@ -407,11 +404,11 @@
         let mut heats: Vec<(f64, f64)> = known.map(|l| (heat(l), l.tries)).collect();
         heats.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = heats.iter().map(|h| h.1).sum::<f64>() / 2.0;
-        let middle = heats.iter().find(|(_, tries)| {
-            left -= tries;
+        let beyond = |h: &&(f64, f64)| {
+            left -= h.1;
             left <= 0.0
-        });
-        middle.map_or(0.0, |h| h.0)
+        };
+        heats.iter().find(beyond).map_or(0.0, |h| h.0)
     }
 
     /// Guards against real overload: most servers answer late or not at all. Sheds the least worth first.
@@ -545,8 +542,8 @@
     fn homecoming(&self) -> Option<(ServerId, ZoneId)> {
         let zones = self.zones();
         let spared = |s: &&Server| !self.usable(s, s.home) || zones.strain(s.home, self.count(s)) <= RETURN;
-        let lent = self.servers.values().filter(|s| s.home != s.listed.zone);
-        lent.filter(spared).map(|s| (s.listed.server, s.listed.zone)).next()
+        let lent = self.servers.values().filter(|s| s.home != s.listed.zone).find(spared)?;
+        Some((lent.listed.server, lent.listed.zone))
     }
 
     fn table_of(&self, zone: ZoneId) -> TableId {
@@ -589,8 +586,7 @@
     /// loaded. Guards against rolling deploys and zones that come back cold. Harm: a cold zone stays slow for
     /// longer.
     fn spared(&self, server: &Server, push: f64) -> f64 {
-        let ramp = self.ramp(server);
-        let warmth = self.warmth(server);
+        let (ramp, warmth) = (self.ramp(server), self.warmth(server));
         if server.listed.born == 0 || warmth >= 1.0 {
             return ramp;
         }
