--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,7 +34,7 @@
 const COLD_MARGIN: f64 = 0.75;
 const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
-/// A zone table with ramping servers and so many times the fleet's load for its count spills over all zones.
+/// A zone table with ramping servers and so many times the fleet's load spills over all zones.
 const SPILL: f64 = 2.0;
 /// The module wakes this often.
 const TICK: Micros = 250_000;
@@ -367,11 +367,11 @@
     /// than the median server keeps a part of its weight until it has cooled, and counts for as much in its
     /// zone, so that a zone of hot servers borrows. Harm: with few servers the median itself is the hot one.
     fn ease(&mut self) {
-        if self.now < self.eased_at + self.set.report_period.max(EASE_EVERY) {
+        let (median, recent) = (self.median_heat(), self.recent());
+        if median == 0.0 || self.now < self.eased_at + self.set.report_period.max(EASE_EVERY) {
             return;
         }
         self.eased_at = self.now;
-        let (median, recent) = (self.median_heat(), self.recent());
         for server in self.servers.values_mut() {
             let id = server.listed.server;
             let met = self.links.range((id, ZoneId(0))..=(id, ZoneId(u16::MAX))).map(|(_, l)| l);
@@ -392,7 +392,6 @@
         }
     }
 
-    /// Older reports say nothing.
     fn recent(&self) -> Micros {
         self.now.saturating_sub(2 * self.set.report_period + EASE_EVERY)
     }
@@ -411,15 +410,16 @@
         heats.iter().find(beyond).map_or(0.0, |h| h.0)
     }
 
-    /// Guards against real overload: most servers answer late or not at all. Sheds the least worth first.
+    /// Guards against real overload, the least worth first. Reports that stay away tell nothing: all stands.
     fn set_shedding(&mut self) {
-        self.heat = self.median_heat();
-        if self.heat > HOT && self.now >= self.shed.hold_until {
+        let heat = self.median_heat();
+        self.heat = if heat > 0.0 { heat } else { self.heat };
+        if heat > HOT && self.now >= self.shed.hold_until {
             self.shed.mark = if self.shed.hot { self.shed.mark } else { self.shed.part };
             self.shed.hot = true;
             self.shed.part += SHED_STEP * (self.heat / HOT).powi(2);
             self.shed.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
-        } else if self.heat < COOL {
+        } else if heat > 0.0 && heat < COOL {
             self.shed.hot = false;
             let pace = if self.shed.part > self.shed.mark + SHED_STEP / 2.0 { ADMIT_PACE } else { WARY_PACE };
             let seldom = (self.set.report_period as f64 * 2e-6).max(1.0);
@@ -525,7 +525,8 @@
     fn loan(&self) -> Option<(ServerId, ZoneId)> {
         let zones = self.zones();
         let strained = |a: &ZoneId, b: &ZoneId| zones.strain(*a, 0.0).total_cmp(&zones.strain(*b, 0.0));
-        let short = zones.expected.keys().copied().max_by(strained)?;
+        let joined = |zone: &ZoneId| self.proxies.values().any(|p| p.joined && p.zone == *zone);
+        let short = zones.expected.keys().copied().filter(joined).max_by(strained)?;
         let spare = |a: &ZoneId, b: &ZoneId| zones.spare(*a).total_cmp(&zones.spare(*b));
         let lender =
             zones.held.keys().copied().filter(|z| *z != short && zones.spare(*z) > 0.0).max_by(spare)?;
@@ -594,7 +595,6 @@
         ramp.min(COLD_MARGIN * self.set.fall_multiple * capacity / push.max(1e-9)).max(START_SHARE / 4.0)
     }
 
-    /// Sends what has changed, for each zone that has joined proxies.
     fn publish(&mut self) {
         let shares = self.shares();
         let joined: BTreeSet<_> = self.proxies.values().filter(|p| p.joined).map(|p| p.zone).collect();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -348,6 +348,19 @@
     assert!(site.servers(2).iter().any(|n| n % 3 == 2), "{:?}", site.servers(2));
 }
 
+/// Found on brandt-stock's big-1: zones cut off kept their share of the load, and took servers nobody used.
+#[test]
+fn zones_without_joined_proxies_borrow_nothing() {
+    let mut site = Site::running(settings(), 12);
+    site.pass(2 * SECOND, |_| (0..6).map(|p| traffic(p, 30)).collect());
+    site.feed(&[1, 2, 4, 5].map(|proxy| Event::Left { proxy: ProxyId(proxy) }));
+    site.pass(6 * SECOND, |_| {
+        let cut = (0..12).filter(|n| n % 3 != 0);
+        cut.map(|n| probed(n, ProbeOutcome::Unreachable)).collect()
+    });
+    assert_eq!(site.servers(0), [0, 3, 6, 9]);
+}
+
 // ---- levels
 
 #[test]
@@ -365,6 +378,19 @@
     assert_eq!(site.levels[&(table, ClassId(0))].1, 1.0);
 }
 
+/// Found on a hunted day: reports came late in a jam, their absence was taken for a cool fleet, and levels,
+/// repeats and young servers came back at once.
+#[test]
+fn reports_that_stay_away_do_not_cool_the_fleet() {
+    let mut site = Site::running(settings(), 12);
+    site.pass(8 * SECOND, |_| good(12, 1_500_000));
+    let table = site.bound[&ProxyId(0)];
+    let hot = site.levels.clone();
+    assert!(hot[&(table, ClassId(0))].1 < 1.0);
+    site.pass(10 * SECOND, |_| Vec::new());
+    assert_eq!(site.levels, hot);
+}
+
 #[test]
 fn trouble_of_a_few_servers_sheds_nothing() {
     let mut site = Site::running(settings(), 12);
