--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,7 +31,7 @@
 const YOUNG: f64 = 0.65;
 /// Cold budget: the part of it that may be used, and the tries for an answer that it reckons with: at least
 /// `SURGE`, as a jam is seen seconds late; beyond the most, answers fail rather than load grows.
-const COLD_MARGIN: f64 = 0.75;
+const COLD_MARGIN: f64 = 0.65;
 const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
 /// A zone table with ramping servers and so many times the fleet's load spills over all zones.
