--- a/src/policy.rs
+++ b/src/policy.rs
@@ -75,8 +75,8 @@
 const SHED_STEP: f64 = 0.3;
 const SHED_HOLD: Micros = 2_500_000;
 const COOL: f64 = 0.45;
-const ADMIT_PACE: f64 = 0.6;
-const WARY_PACE: f64 = 0.12;
+const ADMIT_PACE: f64 = 1.2;
+const WARY_PACE: f64 = 0.2;
 const LEAST_ADMITTED: f64 = 0.15;
 const MOST_KEPT: f64 = 0.6;
 /// Draws that a client makes for a request, each let in or refused; a rate that lets all in.
