--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,8 +49,7 @@
 const PROBES_BACK: u32 = 2;
 /// A server that answers this share of its tries is alive.
 const ANSWERS: f64 = 0.3;
-/// So many tries failed without one answered take a server out, unless the median is as hot as `JAM`: then to
-/// withdraw some would only bury the rest.
+/// So many tries failed in a row take a server out, unless the median is at `JAM`: that would bury the rest.
 const MIN_TRIES: f64 = 5.0;
 const JAM: f64 = 1.0;
 /// It is tried again after this long, doubling each time up to the cap.
@@ -134,6 +133,7 @@
     zoned: bool,
     backlog: f64,
     heat: f64,
+    jammed: BTreeSet<ZoneId>,
     eased_at: Micros,
     shed: Shedding,
     /// Seconds since the last batch.
@@ -259,8 +259,7 @@
         s.next_probe = self.now + if s.fails > 0 || s.down { PROBE_SUSPECT } else { PROBE_EVERY };
     }
 
-    /// A zone whose proxies were all away may have been cut off with its servers: what probes said of them
-    /// across the cut is no evidence for the proxies that come back.
+    /// What probes said of a zone's servers while its proxies were away may be but the cut between.
     fn learn_join(&mut self, proxy: ProxyId, zone: ZoneId, rate: f64) {
         if !self.proxies.values().any(|p| p.joined && p.zone == zone) {
             for server in self.servers.values_mut().filter(|s| s.listed.zone == zone) {
@@ -301,12 +300,14 @@
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
         let out = |link: &Link| link.out_until.is_some();
-        let young = server.listed.born > 0 && self.warmth(server) < YOUNG && self.heat > JAM;
+        let young = server.listed.born > 0 && self.warmth(server) < YOUNG && self.jammed.contains(&zone);
         let fit = self.ready(server) && !server.down && self.now >= server.ramp_from && !young;
         fit && !self.links.get(&(server.listed.server, zone)).is_some_and(out)
     }
 
     fn judge(&mut self) {
+        let zones = self.proxies.values().map(|p| p.zone);
+        self.jammed = zones.filter(|zone| self.median_heat(Some(*zone)).max(self.heat) > JAM).collect();
         self.judge_probes();
         self.judge_links();
         self.ease();
@@ -342,7 +343,7 @@
     /// Guards against servers that hang or fail for the proxies of a zone, whatever their probes say; at most
     /// half of a zone's servers go out.
     fn judge_links(&mut self) {
-        let median = self.median_heat();
+        let median = self.median_heat(None);
         let ids: Vec<_> = self.links.keys().copied().collect();
         for (id, zone) in ids {
             let held = self.servers.values().filter(|s| s.home == zone && self.ready(s));
@@ -363,11 +364,10 @@
         }
     }
 
-    /// Guards against servers that are slow but alive: paused, crowded, weaker than listed. One far hotter
-    /// than the median server keeps a part of its weight until it has cooled, and counts for as much in its
-    /// zone, so that a zone of hot servers borrows. Harm: with few servers the median itself is the hot one.
+    /// Guards against servers that are slow but alive. A slow one counts for less in its zone too, so that a
+    /// hot zone borrows. Harm: with few servers the median itself is the hot one.
     fn ease(&mut self) {
-        let (median, recent) = (self.median_heat(), self.recent());
+        let (median, recent) = (self.median_heat(None), self.recent());
         if median == 0.0 || self.now < self.eased_at + self.set.report_period.max(EASE_EVERY) {
             return;
         }
@@ -396,11 +396,12 @@
         self.now.saturating_sub(2 * self.set.report_period + EASE_EVERY)
     }
 
-    /// The heat that the median try meets: it rises when most are slow, not when some are in trouble.
-    fn median_heat(&self) -> f64 {
-        let recent = self.recent();
-        let known = self.links.values().filter(|l| l.at >= recent && l.out_until.is_none());
-        let mut heats: Vec<(f64, f64)> = known.map(|l| (heat(l), l.tries)).collect();
+    /// The heat that the median try meets, in the fleet or a zone: high when most are slow, not some. A
+    /// zone's counts withdrawn servers too, as their load falls on the rest.
+    fn median_heat(&self, of: Option<ZoneId>) -> f64 {
+        let counts = |zone: &ZoneId, l: &Link| of.map_or(l.out_until.is_none(), |of| of == *zone);
+        let known = self.links.iter().filter(|((_, zone), l)| l.at >= self.recent() && counts(zone, l));
+        let mut heats: Vec<(f64, f64)> = known.map(|(_, l)| (heat(l), l.tries)).collect();
         heats.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut left = heats.iter().map(|h| h.1).sum::<f64>() / 2.0;
         let beyond = |h: &&(f64, f64)| {
@@ -412,7 +413,7 @@
 
     /// Guards against real overload, the least worth first. Reports that stay away tell nothing: all stands.
     fn set_shedding(&mut self) {
-        let heat = self.median_heat();
+        let heat = self.median_heat(None);
         self.heat = if heat > 0.0 { heat } else { self.heat };
         if heat > HOT && self.now >= self.shed.hold_until {
             self.shed.mark = if self.shed.hot { self.shed.mark } else { self.shed.part };
@@ -483,8 +484,8 @@
         load
     }
 
-    /// What a server counts: by its listed weight, since unequal servers are no equal help, and in part while
-    /// it ramps, since a cold zone is a short zone and borrows warm servers. With equal weights: one.
+    /// What a server counts: by its listed weight, as unequal servers are no equal help, and in part while it
+    /// ramps or is slow, so that its zone borrows. With equal weights: one.
     fn count(&self, server: &Server) -> f64 {
         self.ramp(server) * server.listed.weight * server.eased
     }
@@ -583,9 +584,8 @@
         self.now.saturating_sub(server.listed.born) as f64 / self.set.cold.max(1) as f64
     }
 
-    /// Cold budget: a server's part stays under what it can take since its start, were the fleet fully
-    /// loaded. Guards against rolling deploys and zones that come back cold. Harm: a cold zone stays slow for
-    /// longer.
+    /// Cold budget: a server's part stays under what it can take, were the fleet fully loaded. Guards against
+    /// rolling deploys and zones that come back cold. Harm: they stay slow for longer.
     fn spared(&self, server: &Server, push: f64) -> f64 {
         let (ramp, warmth) = (self.ramp(server), self.warmth(server));
         if server.listed.born == 0 || warmth >= 1.0 {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -210,6 +210,22 @@
     assert!(site.weight(0, 12) > 0.0);
 }
 
+/// Found on a hunted release day of hobart-intake: one zone was jammed in a cool fleet.
+#[test]
+fn a_jammed_zone_spares_its_young_servers() {
+    let mut site = Site::running(settings(), 15);
+    let one_zone = |_: &Site| {
+        (0..15)
+            .map(|n| tally(n, u16::from(n % 3), 20, 0, if n % 3 == 0 { 1_500_000 } else { 200_000 }))
+            .collect()
+    };
+    site.pass(4 * SECOND, one_zone);
+    let young = ListEntry { born: site.now - 4 * SECOND, ..entry(15, 0) };
+    site.feed(&[list(ListHow::Delta, &[young])]);
+    site.pass(2 * SECOND, one_zone);
+    assert_eq!(site.weight(0, 15), 0.0);
+}
+
 #[test]
 fn no_more_messages_in_the_window_than_allowed_however_much_changes() {
     let set = Settings { messages_max: 12, ..settings() };
