--- a/crates/stepspur-wire/src/frame.rs
+++ b/crates/stepspur-wire/src/frame.rs
@@ -360,6 +360,10 @@
                 b.extend(u32::from(*mark).to_be_bytes());
                 b.push(0);
             }),
+            Action::Withdraw { server, out } => self.record(10, |b| {
+                b.extend(server.0);
+                b.push(u8::from(*out));
+            }),
             Action::Wake { after, token } => self.record(1, |b| {
                 b.extend(u32::try_from(*after).unwrap_or(u32::MAX).to_be_bytes());
                 b.extend(token.to_be_bytes());
--- a/crates/stepspur-wire/src/settings.rs
+++ b/crates/stepspur-wire/src/settings.rs
@@ -75,10 +75,14 @@
     interval_us: f64,
     #[serde(default)]
     keeps_writing_us: f64,
+    #[serde(default)]
+    min_conn_cap: f64,
     pending_max: f64,
     per_message: f64,
+    #[serde(default)]
     proxies: u32,
     push_delay_max_us: f64,
+    #[serde(default)]
     pushes_allowed: u32,
     #[serde(default)]
     single_writer: bool,
@@ -138,6 +142,7 @@
         message_head: info.per_message,
         messages_max: info.pushes_allowed,
         message_window: info.update_window_us as u64,
+        connections_min: info.min_conn_cap,
         transit_max: info.push_delay_max_us as u64,
         report_period: info.interval_us as u64,
         unserved_max: info.unserved_max_us as u64,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -14,7 +14,7 @@
 pub struct ProxyId(pub u16);
 
 /// A table's number; at sites with slices the number of the slice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TableId(pub u16);
 
 /// A zone's place in the settings.
@@ -113,6 +113,8 @@
     pub messages_max: u32,
     /// The span for that count.
     pub message_window: Micros,
+    /// Connections that the smallest servers accept; 0: not told.
+    pub connections_min: f64,
     /// The longest way of a message from the channel to the proxy.
     pub transit_max: Micros,
     /// Reports are gathered so often.
@@ -354,6 +356,13 @@
         /// A number below 65536.
         mark: u16,
     },
+    /// Keep joined proxies from sending to a server, whatever their tables say, or let them again.
+    Withdraw {
+        /// The server.
+        server: ServerId,
+        /// True: out.
+        out: bool,
+    },
     /// Ask for an alarm.
     Wake {
         /// From now.
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,158 @@
+//! Bookkeeping of the records and sums over them. No decision and no tuned value stands here.
+
+use crate::interface::{
+    ClassId, ListState, Micros, ProbeOutcome, ProxyId, Resend, ServerId, TableId, ZoneId,
+};
+use crate::state::{ByPool, Link, Policy, Pools, Proxy, Server};
+
+/// The value that the median unit of weight has, of pairs of value and weight; 0 of none.
+pub(crate) fn median(mut values: Vec<(f64, f64)>) -> f64 {
+    values.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut left = values.iter().map(|v| v.1).sum::<f64>() / 2.0;
+    let beyond = |v: &&(f64, f64)| {
+        left -= v.1;
+        left <= 0.0
+    };
+    values.iter().find(beyond).map_or(0.0, |v| v.0)
+}
+
+impl Server {
+    pub(crate) fn ready(&self) -> bool {
+        self.listed.state == ListState::Ready
+    }
+
+    /// Counts a probe's result: answered or failed in a row. Being turned away tells nothing.
+    pub(crate) fn note_probe(&mut self, outcome: ProbeOutcome) {
+        match outcome {
+            ProbeOutcome::Ok => (self.oks, self.fails) = (self.oks + 1, 0),
+            ProbeOutcome::Full => {}
+            _ => (self.oks, self.fails) = (0, self.fails + 1),
+        }
+    }
+}
+
+impl Link {
+    /// Adds a report to evidence of which so much is kept.
+    pub(crate) fn add(&mut self, keep: f64, total: f64, errors: f64, time: f64) {
+        self.tries = self.tries * keep + total;
+        self.errors = self.errors * keep + errors;
+        self.time = self.time * keep + time;
+        self.failed_run = if errors >= total { self.failed_run + total } else { 0.0 };
+    }
+}
+
+impl Pools {
+    pub(crate) fn held(&self, pool: TableId) -> f64 {
+        self.held.get(&pool).copied().unwrap_or(0.0)
+    }
+
+    fn expected(&self, pool: TableId) -> f64 {
+        self.expected.get(&pool).copied().unwrap_or(0.0)
+    }
+
+    /// Servers that a pool holds beyond what it is expected to have.
+    pub(crate) fn spare(&self, pool: TableId) -> f64 {
+        self.held(pool) - self.expected(pool)
+    }
+
+    /// How many times the servers that a pool would have without these it is expected to have.
+    pub(crate) fn strain(&self, pool: TableId, without: f64) -> f64 {
+        self.expected(pool) / (self.held(pool) - without).max(1e-3)
+    }
+}
+
+impl Policy {
+    /// A proxy's stream stands; it belongs to this table and is bound to none yet.
+    pub(crate) fn note_joined(&mut self, proxy: ProxyId, zone: ZoneId, pool: TableId, listed_rate: f64) {
+        *self.joined.entry(zone).or_default() += 1;
+        self.unbound.insert(proxy);
+        self.tables.entry(pool).or_default().load += listed_rate;
+        let before = self.proxies.remove(&proxy).unwrap_or_default();
+        let known = Proxy { bound: None, messages: Vec::new(), ..before };
+        self.proxies.insert(proxy, Proxy { zone, pool, joined: true, listed_rate, ..known });
+    }
+
+    /// A proxy's stream has broken: what was on its way is lost, and its binding ends.
+    pub(crate) fn note_left(&mut self, proxy: ProxyId) {
+        let Some(p) = self.proxies.get_mut(&proxy).filter(|p| p.joined) else { return };
+        (p.joined, p.left_at) = (false, self.now);
+        self.unbound.remove(&proxy);
+        self.ledger.lost(proxy);
+        self.joined.entry(p.zone).and_modify(|joined| *joined -= 1);
+        self.tables.entry(p.pool).and_modify(|t| t.load -= p.listed_rate);
+        if let Some(table) = p.bound.take().and_then(|id| self.tables.get_mut(&id)) {
+            table.users.remove(&proxy);
+        }
+    }
+
+    /// A proxy is bound to a table, and to no other.
+    pub(crate) fn note_bound(&mut self, proxy: ProxyId, id: TableId) {
+        self.unbound.remove(&proxy);
+        let old = self.proxies.get_mut(&proxy).and_then(|p| p.bound.replace(id));
+        if let Some(old) = old.and_then(|old| self.tables.get_mut(&old)) {
+            old.users.remove(&proxy);
+        }
+        self.tables.entry(id).or_default().users.insert(proxy);
+    }
+
+    /// A table's line is so; without weight there is none.
+    pub(crate) fn note_line(&mut self, id: TableId, server: ServerId, weight: f64) {
+        let table = self.tables.entry(id).or_default();
+        table.sent_at = self.now;
+        if weight > 0.0 {
+            table.lines.insert(server, weight);
+        } else {
+            table.lines.remove(&server);
+        }
+    }
+
+    /// A table's level and way of trying again are so.
+    pub(crate) fn note_level(&mut self, id: TableId, class: ClassId, resend: Resend, level: f64) {
+        let table = self.tables.entry(id).or_default();
+        table.sent_at = self.now;
+        table.levels.insert(class, (resend, level));
+    }
+
+    /// A slice is given into this conductor's charge, or taken away.
+    pub(crate) fn note_slice(&mut self, slice: TableId, given: bool) {
+        self.news = true;
+        self.tables.remove(&slice);
+        self.slices.remove(&slice);
+        self.slices.extend(given.then_some((slice, self.now)));
+    }
+
+    /// Books so many lines for each of these proxies in this reply: one message each.
+    pub(crate) fn charge<'a>(&mut self, to: impl IntoIterator<Item = &'a ProxyId>, lines: usize) {
+        let since: Micros = self.now.saturating_sub(self.set.message_window);
+        for id in to {
+            let Some(proxy) = self.proxies.get_mut(id) else { continue };
+            proxy.messages.retain(|at| *at >= since);
+            let new = proxy.messages.last() != Some(&self.now);
+            proxy.messages.extend(new.then_some(self.now));
+            let head = if new { self.set.message_head + 1.0 } else { 0.0 };
+            self.ledger.charge(*id, lines as f64 + head);
+        }
+    }
+
+    /// How many servers each table holds, counted so, and how many it expects: all, times its load share.
+    pub(crate) fn pools(&self, shares: &ByPool, count: impl Fn(&Server) -> f64) -> Pools {
+        let mut held = ByPool::new();
+        for server in self.servers.values() {
+            *held.entry(server.home).or_default() += count(server);
+        }
+        let all: f64 = held.values().sum();
+        Pools { expected: shares.iter().map(|(pool, share)| (*pool, share * all)).collect(), held }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_median_goes_by_weight() {
+        assert_eq!(median(vec![]), 0.0);
+        assert_eq!(median(vec![(5.0, 1.0), (1.0, 1.0), (2.0, 1.0)]), 2.0);
+        assert_eq!(median(vec![(5.0, 9.0), (1.0, 1.0), (2.0, 1.0)]), 5.0);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,16 +1,23 @@
 //! What the decision module remembers of servers, proxies and tables: plain records, no logic.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::interface::{ClassId, ListEntry, Micros, Resend, ServerId, TableId, ZoneId};
+use crate::interface::{
+    Action, ClassId, ListEntry, Micros, ProxyId, Resend, ServerId, Settings, TableId, ZoneId,
+};
+use crate::ledger::Ledger;
 
 /// A server of the list.
 #[derive(Default)]
 pub(crate) struct Server {
     /// Its newest entry.
     pub listed: ListEntry,
-    /// The zone whose table holds it.
-    pub home: ZoneId,
+    /// The table that holds it while tables are by zone.
+    pub home: TableId,
+    /// What the proxies of each zone met there.
+    pub links: BTreeMap<ZoneId, Link>,
+    /// True: kept from proxies that wait for their table.
+    pub masked: bool,
     /// Start of its slow start; 0: none.
     pub ramp_from: Micros,
     /// When to probe it next.
@@ -61,6 +68,8 @@
     pub rates: BTreeMap<ClassId, f64>,
     /// The same while nothing was shed: without the repeats of refused requests.
     pub usual: BTreeMap<ClassId, f64>,
+    /// The table of its zone that it belongs to.
+    pub pool: TableId,
     /// The table that it is bound to.
     pub bound: Option<TableId>,
     /// When messages were written to it since it joined, within the window.
@@ -76,28 +85,72 @@
     pub levels: BTreeMap<ClassId, (Resend, f64)>,
     /// When it was last changed.
     pub sent_at: Micros,
+    /// Proxies bound to it.
+    pub users: BTreeSet<ProxyId>,
+    /// Requests a second that its joined proxies were said to get.
+    pub load: f64,
 }
 
 /// How much is shed.
 #[derive(Default)]
 pub(crate) struct Shedding {
-    /// Classes shed, from the least worth up, the last in part.
+    /// Part of all requests.
     pub part: f64,
-    /// What was shed when the fleet last became hot.
+    /// What was let in when the fleet last became hot.
     pub mark: f64,
     /// True: it has not cooled since.
     pub hot: bool,
-    /// No further step before this.
+    /// No further cut before this.
     pub hold_until: Micros,
 }
 
 /// A number for each zone.
 pub(crate) type ByZone = BTreeMap<ZoneId, f64>;
 
-/// Servers by zone.
-pub(crate) struct Zones {
+/// A number for each table.
+pub(crate) type ByPool = BTreeMap<TableId, f64>;
+
+/// Servers by table.
+pub(crate) struct Pools {
     /// As many as its share of the load asks for.
-    pub expected: ByZone,
-    /// Those in its table.
-    pub held: ByZone,
+    pub expected: ByPool,
+    /// Those in it.
+    pub held: ByPool,
+}
+
+/// One conductor's decisions.
+#[derive(Default)]
+pub struct Policy {
+    pub(crate) set: Settings,
+    pub(crate) now: Micros,
+    pub(crate) started: Micros,
+    pub(crate) next_tick: Micros,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
+    /// Proxies joined, by zone; those of them not bound yet.
+    pub(crate) joined: BTreeMap<ZoneId, usize>,
+    pub(crate) unbound: BTreeSet<ProxyId>,
+    /// True: tables must be planned now.
+    pub(crate) news: bool,
+    pub(crate) tables: BTreeMap<TableId, Table>,
+    pub(crate) slices: BTreeMap<TableId, Micros>,
+    pub(crate) zoned: bool,
+    /// What waits in the channel.
+    pub(crate) ledger: Ledger,
+    /// What the last round found: heat of the fleet now (0: no news), as last known, by zone; tries an answer.
+    pub(crate) median: f64,
+    pub(crate) heat: f64,
+    pub(crate) zone_heat: ByZone,
+    pub(crate) pressure: f64,
+    /// Good answers since the last round, their rate a second and its fading peak.
+    pub(crate) good: f64,
+    pub(crate) good_rate: f64,
+    pub(crate) good_peak: f64,
+    /// Requests a second by class, as it comes.
+    pub(crate) class_load: Vec<f64>,
+    pub(crate) eased_at: Micros,
+    pub(crate) shed: Shedding,
+    pub(crate) ask_at: Option<Micros>,
+    pub(crate) ask_wait: Micros,
+    pub(crate) out: Vec<Action>,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -79,6 +79,8 @@
     pub bound: BTreeMap<ProxyId, TableId>,
     pub messages: BTreeMap<ProxyId, Vec<Micros>>,
     pub joined: BTreeSet<ProxyId>,
+    /// Answers to marks, given with the next batch.
+    pub answers: Vec<Event>,
 }
 
 impl Site {
@@ -91,6 +93,7 @@
             bound: BTreeMap::new(),
             messages: BTreeMap::new(),
             joined: BTreeSet::new(),
+            answers: Vec::new(),
         }
     }
 
@@ -121,7 +124,9 @@
                 _ => {}
             }
         }
-        let actions = self.policy.decide(self.now, events);
+        let mut told = std::mem::take(&mut self.answers);
+        told.extend_from_slice(events);
+        let actions = self.policy.decide(self.now, &told);
         self.take(&actions);
         actions
     }
@@ -162,6 +167,11 @@
                 _ => {}
             }
         }
+        let marks =
+            actions.iter().filter_map(|a| if let Action::Mark { mark } = a { Some(*mark) } else { None });
+        for mark in marks.map(u32::from) {
+            self.answers.extend(reached.iter().map(|p| Event::Applied { proxy: *p, mark, latency: 0 }));
+        }
         for proxy in reached {
             self.messages.entry(proxy).or_default().push(self.now);
         }
--- a/tests/guard.rs
+++ b/tests/guard.rs
@@ -60,3 +60,15 @@
         }
     }
 }
+
+/// Every tuned value stands in the module: the files beside it name no constant.
+#[test]
+fn records_and_ledger_hold_no_tuned_value() {
+    for source in
+        [include_str!("../src/state.rs"), include_str!("../src/records.rs"), include_str!("../src/ledger.rs")]
+    {
+        let named =
+            source.lines().find(|line| line.trim_start().trim_start_matches("pub ").starts_with("const "));
+        assert_eq!(named, None);
+    }
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -275,6 +275,7 @@
     let mut site = Site::running(settings(), 12);
     site.feed(&good(12, 200_000));
     site.feed(&[tally(3, 0, 6, 6, 0)]);
+    site.pass(250_000, |_| Vec::new());
     assert_eq!(site.servers(0), [0, 6, 9]);
     site.pass(3 * SECOND, |_| Vec::new());
     assert_eq!(site.servers(0), [0, 6, 9]);
@@ -506,3 +507,75 @@
     assert_eq!(count(&site.feed(&events), orders), 0);
     assert_eq!(site.servers(0), [0, 3, 6, 9]);
 }
+
+// ---- size
+
+/// Thirty warm servers and so many proxies, evenly over three zones; servers take twenty connections.
+fn crowd(proxies: u16) -> Site {
+    let mut site = Site::new(Settings {
+        proxies: u32::from(proxies),
+        connections_min: 20.0,
+        pending_max: 200_000.0,
+        ..settings()
+    });
+    let entries: Vec<_> = (0..30).map(|n| entry(n, u16::from(n % 3))).collect();
+    let mut events = vec![list(ListHow::Cached, &entries)];
+    events.extend((0..proxies).map(|p| joined(p, p % 3)));
+    site.feed(&events);
+    site.pass(4 * SECOND, |_| Vec::new());
+    site
+}
+
+/// Found at full size: hundreds of proxies on one zone's table filled the servers' connections, and each
+/// request opened a new one.
+#[test]
+fn a_zone_with_too_many_proxies_for_its_servers_is_cut_into_shared_parts() {
+    assert_eq!(crowd(6).servers(0).len(), 10, "few proxies: the zone's table");
+    let mut site = crowd(60);
+    let tables: std::collections::BTreeSet<_> = site.bound.values().copied().collect();
+    assert_eq!(tables.len(), 15, "20 proxies a zone, 4 a part");
+    for zone in 0..3u16 {
+        let own = |n: &u8| u16::from(n % 3) == zone;
+        assert!(site.servers(zone).iter().all(own), "{:?}", site.servers(zone));
+        assert_eq!(site.servers(zone).len(), 2);
+    }
+    let before = site.bound.clone();
+    site.feed(&[Event::Left { proxy: ProxyId(7) }]);
+    site.feed(&[joined(7, 1)]);
+    site.pass(5 * SECOND, |_| Vec::new());
+    assert_eq!(site.bound, before, "parts are sticky");
+}
+
+/// A part of a zone has few servers: when they are lost it takes those of the like parts, not of the fleet.
+#[test]
+fn a_part_that_loses_its_servers_gets_a_few_of_others() {
+    let mut site = crowd(60);
+    let lost = site.servers(0);
+    let drains: Vec<_> =
+        lost.iter().map(|n| ListEntry { state: ListState::Draining, ..entry(*n, 0) }).collect();
+    site.feed(&[list(ListHow::Delta, &drains)]);
+    let now = site.servers(0);
+    assert!(!now.is_empty() && now.len() <= 6 && lost.iter().all(|n| !now.contains(n)), "{now:?}");
+}
+
+/// Proxies that wait for room in the channel go by older tables: drains reach them as withdrawals.
+#[test]
+fn proxies_not_bound_yet_are_kept_off_draining_servers() {
+    let mut site = Site::new(Settings { pending_max: 60.0, ..settings() });
+    let entries: Vec<_> = (0..12).map(|n| entry(n, u16::from(n % 3))).collect();
+    let mut events = vec![list(ListHow::Cached, &entries)];
+    events.extend((0..6).map(|p| joined(p, p % 3)));
+    site.policy.decide(site.now, &events);
+    let drain = ListEntry { state: ListState::Draining, ..entry(3, 0) };
+    let orders = |site: &mut Site, events: &[Event]| {
+        site.now += SECOND;
+        let answers = (0..6).map(|p| Event::Applied { proxy: ProxyId(p), mark: 1, latency: 0 });
+        let events: Vec<_> = answers.chain(events.iter().cloned()).collect();
+        site.policy.decide(site.now, &events)
+    };
+    let masked = orders(&mut site, &[list(ListHow::Delta, &[drain])]);
+    assert!(masked.contains(&Action::Withdraw { server: id(3), out: true }), "{masked:?}");
+    let back = orders(&mut site, &[list(ListHow::Delta, &[entry(3, 0)])]);
+    let later = orders(&mut site, &[]);
+    assert!(back.iter().chain(&later).any(|a| *a == Action::Withdraw { server: id(3), out: false }));
+}
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -150,7 +150,9 @@
                 }
                 Action::Track | Action::Lookup => prop_assert!(set.list_on_request),
                 Action::Wake { after, .. } => prop_assert!(*after > 0),
-                Action::Mark { .. } | Action::Log(_) => {}
+                Action::Withdraw { server, .. } => prop_assert!(listed.contains_key(server)),
+                Action::Mark { mark } => prop_assert!(*mark < u16::MAX),
+                Action::Log(_) => {}
             }
         }
         if set.messages_max > 0 {
