Cut levels earlier and by reports' true age; anchor parts that hold young servers

A part with young servers now names two warm ones of other zones with a twentieth of the weight each; young servers get nothing from a fleet heat of 0.6.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
-use crate::records::median;
 pub use crate::state::Policy;
 use crate::state::{ByPool, Link, Pools, Server};
 
@@ -41,6 +40,10 @@
 const COLD_MARGIN: f64 = 0.65;
 const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
+/// A part with young servers names so many warm ones of other zones, each with half of the young ones' weight
+/// or `ANCHORED` of the table's: if its warm servers all fail at once, the young don't carry its load alone.
+const ANCHORS: usize = 2;
+const ANCHORED: f64 = 0.05;
 /// A table with ramping servers and so many times the fleet's load spills over other zones.
 const SPILL: f64 = 2.0;
 /// Servers are judged and tables cut this often.
@@ -61,6 +64,8 @@
 const JAM: f64 = 1.0;
 const HOLD: Micros = 4_000_000;
 const HOLD_MAX: Micros = 30_000_000;
+/// Reports that fall behind cover more than a period each: their span, smoothed so over them, is waited for.
+const SPAN_GAIN: f64 = 0.05;
 /// Evidence from tallies halves over this span. A failed try counts as `FAILED` aims of waiting.
 const EVIDENCE_HALF: f64 = 800_000.0;
 const FAILED: f64 = 2.0;
@@ -73,19 +78,18 @@
 const EASE_EVERY: Micros = 1_000_000;
 const EASE_LEAST: f64 = 0.2;
 /// Median heat above which what is let in is cut, by the square of `HOT` over the heat but to no less than
-/// `CUT_MOST` of what the best answer rate of late bears (it fades by `GOOD_FADES` a `GOOD_SPAN`), and not
+/// `CUT_MOST` of what the best answer rate of late bears (it fades by `GOOD_FADES` in two reports), and not
 /// again before reports can show it. Below, it grows by a part a second that falls to nothing at `HOT`: fast
 /// up to `WARY` of what was borne when it became hot, then slowly. Of each class `LEAST_ADMITTED` is let in,
 /// and `MOST_KEPT` of the class worth most.
-const HOT: f64 = 0.7;
+const HOT: f64 = 0.6;
 const COOL: f64 = 0.45;
-const CUT_MOST: f64 = 0.6;
-const GOOD_SPAN: Micros = 2_000_000;
+const CUT_MOST: f64 = 0.7;
 const GOOD_FADES: f64 = 0.05;
 const SHED_HOLD: Micros = 2_500_000;
 const WARY: f64 = 0.85;
 const ADMIT_PACE: f64 = 1.0;
-const WARY_PACE: f64 = 0.05;
+const WARY_PACE: f64 = 0.1;
 const LEAST_ADMITTED: f64 = 0.15;
 const MOST_KEPT: f64 = 0.6;
 /// Draws that a client makes for a request, each let in or refused; a rate that lets all in.
@@ -117,8 +121,7 @@
     /// A conductor at its start: no list, no proxies, no tables. Nothing needs chance yet.
     pub fn new(set: Settings, _seed: u64, now: Micros) -> Self {
         let ask_at = set.list_on_request.then_some(now);
-        let class_load = vec![0.0; set.classes.len()];
-        let fresh = Policy { pressure: SURGE, ask_at, ask_wait: ASK_AGAIN, class_load, ..Policy::default() };
+        let fresh = Policy { pressure: SURGE, ask_at, ask_wait: ASK_AGAIN, ..Policy::default() };
         Policy { set, now, started: now, next_tick: now, ..fresh }
     }
 
@@ -162,7 +165,8 @@
             Event::Joined { proxy, zone, rate, .. } => self.learn_join(*proxy, *zone, *rate),
             Event::Left { proxy } => self.note_left(*proxy),
             Event::Applied { proxy, mark, .. } => self.ledger.applied(*proxy, *mark),
-            Event::Tally { server, zone, total, errors, latency, .. } => {
+            Event::Tally { server, zone, period, total, errors, latency, .. } => {
+                self.report_span += SPAN_GAIN * (*period as f64 - self.report_span);
                 self.learn_tally(*server, *zone, f64::from(*total), f64::from(*errors), *latency as f64);
             }
             Event::Traffic { proxy, class, period, total, .. } if *period > 0 => {
@@ -170,7 +174,7 @@
                 let seen = f64::from(*total) * 1e6 / *period as f64;
                 let rate = p.rates.entry(*class).or_insert(seen);
                 *rate += (1.0 - (-(*period as f64) / SHARE_SPAN).exp()) * (seen - *rate);
-                if self.shed.part == 0.0 || !p.usual.contains_key(class) {
+                if self.shed.part == 0.0 && self.heat < COOL || !p.usual.contains_key(class) {
                     p.usual.insert(*class, *rate);
                 }
             }
@@ -250,9 +254,7 @@
 
     fn learn_tally(&mut self, server: ServerId, zone: ZoneId, total: f64, errors: f64, latency: f64) {
         let Some(s) = self.servers.get_mut(&server).filter(|_| total > 0.0) else { return };
-        if total - errors >= ANSWERS * total {
-            s.answered_at = self.now;
-        }
+        s.answered_at = if total - errors >= ANSWERS * total { self.now } else { s.answered_at };
         self.good += (total - errors).max(0.0);
         let aim = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(1).max(1) as f64;
         let link = s.links.entry(zone).or_default();
@@ -276,29 +278,21 @@
     }
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
-        let jammed = || self.zone_heat.get(&zone).is_some_and(|heat| *heat > JAM) || self.heat > JAM;
-        let young = server.listed.born > 0 && self.warmth(server) < YOUNG && jammed();
-        let fit = server.ready() && !server.down && self.now >= server.ramp_from && !young;
+        let jammed = || self.zone_heat.get(&zone).is_some_and(|heat| *heat > JAM) || self.heat > HOT;
+        let spared = self.young(server) && jammed();
+        let fit = server.ready() && !server.down && self.now >= server.ramp_from && !spared;
         fit && server.links.get(&zone).is_none_or(|link| link.out_until.is_none())
     }
 
     /// Sums over all links, once a round. A zone's heat counts withdrawn servers too, as their load falls on
     /// the rest. Reports that stay away tell nothing: the last heat stands.
     fn survey(&mut self) {
-        let recent = self.recent();
-        let mut zones: BTreeMap<ZoneId, Vec<_>> = BTreeMap::new();
-        let links = || self.servers.values().flat_map(|s| &s.links).filter(|(_, l)| l.at >= recent);
-        links().for_each(|(zone, l)| zones.entry(*zone).or_default().push((heat(l), l.tries)));
-        let fleet = links().filter(|(_, l)| l.out_until.is_none()).map(|(_, l)| (heat(l), l.tries)).collect();
-        let (tries, errors) = links().fold((0.0, 0.0), |(t, e), (_, l)| (t + l.tries, e + l.errors));
-        for (k, load) in self.class_load.iter_mut().enumerate() {
-            *load = self.proxies.values().filter_map(|p| p.usual.get(&ClassId(k as u8))).sum();
-        }
-        self.zone_heat = zones.into_iter().map(|(zone, heats)| (zone, median(heats))).collect();
-        let part = TICK as f64 / (2 * self.set.report_period).max(GOOD_SPAN) as f64;
+        let (tries, errors) = self.sum_links(self.recent(), heat);
+        let load = |k| self.proxies.values().filter_map(|p| p.usual.get(&ClassId(k))).sum();
+        self.class_load = (0..self.set.classes.len() as u8).map(load).collect();
+        let part = TICK as f64 / (2.0 * self.report_span.max(EASE_EVERY as f64));
         self.good_rate += part * (std::mem::take(&mut self.good) / (TICK as f64 * 1e-6) - self.good_rate);
         self.good_peak = (self.good_peak * (1.0 - part * GOOD_FADES)).max(self.good_rate);
-        self.median = median(fleet);
         self.heat = if self.median > 0.0 { self.median } else { self.heat };
         let least = if self.heat > COOL { MOST_PRESSURE } else { SURGE };
         self.pressure = (tries / (tries - errors).max(1.0)).clamp(least, MOST_PRESSURE);
@@ -328,12 +322,7 @@
     /// Guards against servers that hang or fail for the proxies of a zone, whatever their probes say; at most
     /// half of a zone's servers go out.
     fn judge_links(&mut self) {
-        let mut fit: BTreeMap<ZoneId, (usize, usize)> = BTreeMap::new();
-        for server in self.servers.values().filter(|s| s.ready()) {
-            let zone = self.zone_of(server.home);
-            let (held, fit) = fit.entry(zone).or_default();
-            (*held, *fit) = (*held + 1, *fit + usize::from(self.usable(server, zone)));
-        }
+        let mut fit = self.fit_by_zone(|s| self.counted(s) > 0.0);
         for (id, server) in &mut self.servers {
             for (zone, link) in &mut server.links {
                 if link.out_until.is_some_and(|until| self.now >= until) && server.fails == 0 {
@@ -383,7 +372,7 @@
     }
 
     fn recent(&self) -> Micros {
-        self.now.saturating_sub(2 * self.set.report_period + EASE_EVERY)
+        self.now.saturating_sub(2 * self.report_span as Micros + EASE_EVERY)
     }
 
     /// Guards against real overload, the least worth first. Harm: other trouble that slows most is shed too.
@@ -394,7 +383,7 @@
             self.shed.mark = if self.shed.hot { self.shed.mark } else { borne };
             self.shed.hot = true;
             wanted = (wanted * (HOT / heat).powi(2)).max(CUT_MOST * borne);
-            self.shed.hold_until = self.now + SHED_HOLD + 2 * self.set.report_period;
+            self.shed.hold_until = self.now + SHED_HOLD + 2 * self.report_span as Micros;
         } else if heat > 0.0 && heat < HOT {
             self.shed.hot &= heat > COOL;
             let pace = if wanted < self.shed.mark * WARY { ADMIT_PACE } else { WARY_PACE };
@@ -435,8 +424,7 @@
     fn levels(&self, admitted: &[f64], users: &BTreeSet<ProxyId>) -> BTreeMap<ClassId, (Resend, f64)> {
         let level = |(k, class): (usize, &Class)| {
             let (id, admitted) = (ClassId(k as u8), admitted[k]);
-            let rates = users.iter().filter_map(|p| self.proxies[p].usual.get(&id));
-            let mean = rates.sum::<f64>() / users.len().max(1) as f64;
+            let mean = self.mean_usual(users, id);
             let level = match self.set.admit {
                 Admit::Rps if admitted >= 1.0 || mean <= 0.0 => OPEN_RATE,
                 Admit::Rps => admitted * mean,
@@ -469,17 +457,13 @@
     /// The tables of a zone: one, or as few parts as spare its servers' connections.
     fn parts_of(&self, zone: ZoneId) -> impl Iterator<Item = TableId> + use<> {
         let zones = self.set.zones.max(1);
-        let in_zone = f64::from(self.set.proxies) / zones as f64;
+        let in_zone = f64::from(self.set.proxies.min(1 << 16)) / zones as f64;
         let most = in_zone / f64::from(self.set.conductors.max(1)) / SHARED_BY;
-        let needed = in_zone / (self.set.connections_min * FILL).max(1.0);
-        let needed = if self.set.connections_min > 0.0 { needed.ceil().min(most).max(1.0) } else { 1.0 };
+        let cap = if self.set.connections_min > 0.0 { self.set.connections_min } else { f64::INFINITY };
+        let needed = (in_zone / (cap * FILL)).ceil().min(most).max(1.0);
         (0..needed as usize).map(move |part| TableId((part * zones) as u16 + zone.0))
     }
 
-    fn zone_of(&self, pool: TableId) -> ZoneId {
-        ZoneId(pool.0 % self.set.zones.max(1) as u16)
-    }
-
     /// What a server counts: by its listed weight, as unequal servers are no equal help, and in part while it
     /// ramps or is slow, so that its zone borrows. With equal weights: one.
     fn count(&self, server: &Server) -> f64 {
@@ -572,7 +556,16 @@
             chosen = self.servers.values().filter(|s| s.ready()).collect();
         }
         let push = load / earned(&chosen) * self.pressure;
-        chosen.iter().map(|s| (s.listed.server, s.listed.weight * s.eased * self.spared(s, push))).collect()
+        let line = |s: &&Server| (s.listed.server, s.listed.weight * s.eased * self.spared(s, push));
+        let mut lines: BTreeMap<_, _> = chosen.iter().map(line).collect();
+        let parts = self.zoned && self.parts_of(zone).count() > 1;
+        let young: f64 = chosen.iter().filter(|s| parts && self.young(s)).map(|s| line(s).1).sum();
+        let all: f64 = lines.values().sum();
+        let far: Vec<_> =
+            usable().filter(|s| s.listed.zone != zone && !self.young(s) && young > 0.0).collect();
+        let turned = far.iter().cycle().skip(usize::from(pool.0)).take(ANCHORS.min(far.len()));
+        turned.for_each(|s| _ = lines.entry(s.listed.server).or_insert((young / 2.0).min(ANCHORED * all)));
+        lines
     }
 
     /// How much of its cold time has passed.
@@ -580,6 +573,10 @@
         self.now.saturating_sub(server.listed.born) as f64 / self.set.cold.max(1) as f64
     }
 
+    fn young(&self, server: &Server) -> bool {
+        server.listed.born > 0 && self.warmth(server) < YOUNG
+    }
+
     /// Cold budget: a server's part stays under what it can take, were the fleet fully loaded. Guards against
     /// rolling deploys and zones that come back cold. Harm: they stay slow for longer.
     fn spared(&self, server: &Server, push: f64) -> f64 {
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,5 +1,7 @@
 //! Bookkeeping of the records and sums over them. No decision and no tuned value stands here.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use crate::interface::{
     ClassId, ListState, Micros, ProbeOutcome, ProxyId, Resend, ServerId, TableId, ZoneId,
 };
@@ -134,6 +136,43 @@
         }
     }
 
+    /// The median heat of the fleet and of each zone by links with reports since then; tries and errors there.
+    pub(crate) fn sum_links(&mut self, since: Micros, heat: impl Fn(&Link) -> f64) -> (f64, f64) {
+        let mut zones: BTreeMap<ZoneId, Vec<_>> = BTreeMap::new();
+        let (mut tries, mut errors, mut fleet) = (0.0, 0.0, Vec::new());
+        let links = self.servers.values().flat_map(|s| &s.links).filter(|(_, l)| l.at >= since);
+        for (zone, link) in links {
+            let value = (heat(link), link.tries);
+            zones.entry(*zone).or_default().push(value);
+            fleet.extend(link.out_until.is_none().then_some(value));
+            (tries, errors) = (tries + link.tries, errors + link.errors);
+        }
+        self.zone_heat = zones.into_iter().map(|(zone, heats)| (zone, median(heats))).collect();
+        self.median = median(fleet);
+        (tries, errors)
+    }
+
+    /// By zone: servers listed ready that its tables hold, and those of them that are fit.
+    pub(crate) fn fit_by_zone(&self, fit: impl Fn(&Server) -> bool) -> BTreeMap<ZoneId, (usize, usize)> {
+        let mut zones: BTreeMap<ZoneId, (usize, usize)> = BTreeMap::new();
+        for server in self.servers.values().filter(|s| s.ready()) {
+            let (held, is_fit) = zones.entry(self.zone_of(server.home)).or_default();
+            (*held, *is_fit) = (*held + 1, *is_fit + usize::from(fit(server)));
+        }
+        zones
+    }
+
+    /// The zone of a table that is a zone's or a part of one: parts of the same number stand side by side.
+    pub(crate) fn zone_of(&self, pool: TableId) -> ZoneId {
+        ZoneId(pool.0 % self.set.zones.max(1) as u16)
+    }
+
+    /// Requests a second of a class that a proxy of these usually gets.
+    pub(crate) fn mean_usual(&self, of: &BTreeSet<ProxyId>, class: ClassId) -> f64 {
+        let rates = of.iter().filter_map(|id| self.proxies.get(id)?.usual.get(&class));
+        rates.sum::<f64>() / of.len().max(1) as f64
+    }
+
     /// How many servers each table holds, counted so, and how many it expects: all, times its load share.
     pub(crate) fn pools(&self, shares: &ByPool, count: impl Fn(&Server) -> f64) -> Pools {
         let mut held = ByPool::new();
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,6 +142,8 @@
     pub(crate) heat: f64,
     pub(crate) zone_heat: ByZone,
     pub(crate) pressure: f64,
+    /// Time that reports cover, smoothed: more than the period where they fall behind.
+    pub(crate) report_span: f64,
     /// Good answers since the last round, their rate a second and its fading peak.
     pub(crate) good: f64,
     pub(crate) good_rate: f64,
