Count joined proxies only in the usual load

Cause: after a lost zone the proxies that had moved away counted for twenty seconds more in what the fleet usually bears, so levels came back late.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -288,7 +288,8 @@
     /// the rest. Reports that stay away tell nothing: the last heat stands.
     fn survey(&mut self) {
         let (tries, errors) = self.sum_links(self.recent(), heat);
-        let load = |k| self.proxies.values().filter_map(|p| p.usual.get(&ClassId(k))).sum();
+        let joined = || self.proxies.values().filter(|p| p.joined);
+        let load = |k| joined().filter_map(|p| p.usual.get(&ClassId(k))).sum();
         self.class_load = (0..self.set.classes.len() as u8).map(load).collect();
         let part = TICK as f64 / (2.0 * self.report_span.max(EASE_EVERY as f64));
         self.good_rate += part * (std::mem::take(&mut self.good) / (TICK as f64 * 1e-6) - self.good_rate);
