--- a/src/policy.rs
+++ b/src/policy.rs
@@ -83,6 +83,7 @@
 /// up to `WARY` of what was borne when it became hot, then slowly. Of each class `LEAST_ADMITTED` is let in,
 /// and `MOST_KEPT` of the class worth most.
 const HOT: f64 = 0.6;
+const QUEUE_HOT: f64 = 2.0;
 const COOL: f64 = 0.45;
 const CUT_MOST: f64 = 0.7;
 const GOOD_FADES: f64 = 0.05;
@@ -165,7 +166,8 @@
             Event::Joined { proxy, zone, rate, .. } => self.learn_join(*proxy, *zone, *rate),
             Event::Left { proxy } => self.note_left(*proxy),
             Event::Applied { proxy, mark, .. } => self.ledger.applied(*proxy, *mark),
-            Event::Tally { server, zone, period, total, errors, latency, .. } => {
+            Event::Tally { server, zone, period, total, errors, latency, load } => {
+                self.note_load(*server, load);
                 self.report_span += SPAN_GAIN * (*period as f64 - self.report_span);
                 self.learn_tally(*server, *zone, f64::from(*total), f64::from(*errors), *latency as f64);
             }
@@ -376,16 +378,19 @@
         self.now.saturating_sub(2 * self.report_span as Micros + EASE_EVERY)
     }
 
-    /// Guards against real overload, the least worth first. Harm: other trouble that slows most is shed too.
+    /// Guards against real overload, the least worth first. Late answers count while queues stand, where most
+    /// servers report them, as answers tell late of both. Harm: other trouble that slows most is shed too.
     fn set_shedding(&mut self, span: f64) {
-        let (heat, mut wanted) = (self.median, 1.0 - self.shed.part);
+        let by_queue = self.median_queue(self.recent()).map(|queue| HOT * queue / QUEUE_HOT);
+        let heat = by_queue.filter(|heat| *heat <= COOL).unwrap_or(self.median.max(by_queue.unwrap_or(0.0)));
+        let mut wanted = 1.0 - self.shed.part;
         if heat > HOT && self.now >= self.shed.hold_until {
             let borne = wanted.min(self.good_peak / self.class_load.iter().sum::<f64>().max(1e-9));
             self.shed.mark = if self.shed.hot { self.shed.mark } else { borne };
             self.shed.hot = true;
             wanted = (wanted * (HOT / heat).powi(2)).max(CUT_MOST * borne);
             self.shed.hold_until = self.now + SHED_HOLD + 2 * self.report_span as Micros;
-        } else if heat > 0.0 && heat < HOT {
+        } else if (heat > 0.0 || by_queue.is_some()) && heat < HOT {
             self.shed.hot &= heat > COOL;
             let pace = if wanted < self.shed.mark * WARY { ADMIT_PACE } else { WARY_PACE };
             wanted += wanted * pace * span * (1.0 - heat / HOT);
@@ -475,12 +480,14 @@
         if self.usable(server, self.zone_of(server.home)) { self.count(server) } else { 0.0 }
     }
 
-    /// The table most short of its count; one of the own zone where that is as short, within a server.
-    fn pool_most_short(&self, zone: ZoneId, alone: bool, pools: &Pools) -> TableId {
+    /// The table most short of its count, in the zone most short; in its own where that is as short, by one.
+    fn pool_most_short(&self, own: ZoneId, alone: bool, pools: &Pools) -> TableId {
+        let spare = |zone: &ZoneId| self.parts_of(*zone).map(|pool| pools.spare(pool)).sum::<f64>();
+        let others = self.joined.iter().filter(|(_, joined)| **joined > 0 && !alone).map(|(zone, _)| zone);
+        let short = others.min_by(|a, b| spare(a).total_cmp(&spare(b)));
+        let zone = short.filter(|zone| spare(zone) + 1.0 < spare(&own)).unwrap_or(&own);
         let by_spare = |a: &TableId, b: &TableId| pools.spare(*a).total_cmp(&pools.spare(*b));
-        let own = self.parts_of(zone).min_by(by_spare).unwrap_or(SHARED);
-        let most = pools.expected.keys().copied().min_by(by_spare).filter(|_| !alone);
-        most.filter(|pool| pools.spare(*pool) + 1.0 < pools.spare(own)).unwrap_or(own)
+        self.parts_of(*zone).min_by(by_spare).unwrap_or(SHARED)
     }
 
     fn may_lend(&self) -> bool {
@@ -535,11 +542,6 @@
         if self.zoned { pool } else { SHARED }
     }
 
-    /// True: proxies of its zone are joined.
-    fn in_use(&self, pool: TableId) -> bool {
-        self.joined.get(&self.zone_of(pool)).is_some_and(|joined| *joined > 0)
-    }
-
     /// The lines of a table. One that is empty or too cold spills over the like part of the other zones. With
     /// nobody usable the evidence is distrusted: all that are listed ready.
     fn plan(&self, pool: TableId, mates: &[&Server], load: f64) -> BTreeMap<ServerId, f64> {
--- a/src/records.rs
+++ b/src/records.rs
@@ -152,6 +152,23 @@
         (tries, errors)
     }
 
+    /// A load report: requests waiting at a server, where reports tell them.
+    pub(crate) fn note_load(&mut self, server: ServerId, load: &[f32]) {
+        let queue = self.set.load_columns.iter().position(|c| c == "q").and_then(|k| load.get(k));
+        let Some(queue) = queue.filter(|queue| queue.is_finite()) else { return };
+        if let Some(s) = self.servers.get_mut(&server) {
+            (s.queue, s.loaded_at) = (f64::from(*queue).max(0.0), Some(self.now));
+        }
+    }
+
+    /// Requests waiting at the median of the servers whose load reports came since then, if those are most.
+    pub(crate) fn median_queue(&self, since: Micros) -> Option<f64> {
+        let ready = || self.servers.values().filter(|s| s.ready());
+        let told = ready().filter(|s| s.loaded_at.is_some_and(|at| at >= since));
+        let queues: Vec<_> = told.map(|s| (s.queue, 1.0)).collect();
+        (queues.len() * 2 > ready().count()).then(|| median(queues))
+    }
+
     /// By zone: servers listed ready that its tables hold, and those of them that are fit.
     pub(crate) fn fit_by_zone(&self, fit: impl Fn(&Server) -> bool) -> BTreeMap<ZoneId, (usize, usize)> {
         let mut zones: BTreeMap<ZoneId, (usize, usize)> = BTreeMap::new();
@@ -167,6 +184,11 @@
         ZoneId(pool.0 % self.set.zones.max(1) as u16)
     }
 
+    /// True: proxies of the table's zone are joined.
+    pub(crate) fn in_use(&self, pool: TableId) -> bool {
+        self.joined.get(&self.zone_of(pool)).is_some_and(|joined| *joined > 0)
+    }
+
     /// Requests a second of a class that a proxy of these usually gets.
     pub(crate) fn mean_usual(&self, of: &BTreeSet<ProxyId>, class: ClassId) -> f64 {
         let rates = of.iter().filter_map(|id| self.proxies.get(id)?.usual.get(&class));
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,9 @@
     pub down: bool,
     /// Part of its weight that it keeps while it is slow.
     pub eased: f64,
+    /// Requests waiting there by its newest load report, and when that came.
+    pub queue: f64,
+    pub loaded_at: Option<Micros>,
     /// When a report last showed it answering.
     pub answered_at: Micros,
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -638,3 +638,42 @@
     site.feed(&[Event::Left { proxy: ProxyId(9) }]);
     assert_eq!(count(&site.feed(&[joined(9, 0)]), orders), 1);
 }
+
+/// Found on a hunted release with a zone cut: new servers had joined the part most short in any zone, and a cut
+/// left a zone's parts with their young servers alone.
+#[test]
+fn new_servers_of_a_zone_that_is_not_short_join_its_own_parts() {
+    let mut site = crowd(60);
+    let born = site.now - 30 * SECOND;
+    let new: Vec<_> = (30..42).map(|n| ListEntry { born, ..entry(n, u16::from(n % 3)) }).collect();
+    site.feed(&[list(ListHow::Delta, &new)]);
+    site.pass(2 * SECOND, |_| Vec::new());
+    for (proxy, table) in &site.bound {
+        let zone = u8::try_from(proxy.0 % 3).unwrap();
+        assert!(site.tables[table].keys().all(|server| server.0[3] % 3 == zone), "{proxy:?}");
+    }
+}
+
+/// Found on recorded days: answers tell seconds late that a jam is over; the servers' queues tell it at once.
+#[test]
+fn late_answers_shed_nothing_while_the_servers_report_no_queues() {
+    let set = Settings { load_columns: vec!["busy".into(), "q".into()], ..settings() };
+    let shed = |queue: f32| {
+        let mut site = Site::running(set.clone(), 12);
+        site.pass(6 * SECOND, |_| {
+            let told = |n: u8| Event::Tally {
+                server: id(n),
+                zone: ZoneId(u16::from(n % 3)),
+                period: SECOND,
+                total: 20,
+                errors: 0,
+                latency: 900_000,
+                load: vec![0.9, queue],
+            };
+            (0..12).map(told).collect()
+        });
+        site.levels[&(site.bound[&ProxyId(0)], ClassId(0))].1
+    };
+    assert_eq!(shed(0.2), 1.0);
+    assert!(shed(4.0) < 0.9);
+}
