Size parts for a tenth of a server's connections; anchors stay while servers are cold

Cause: with the bound on sharing in place, parts could be smaller without more tables than the design's claim allows; fewer connections a server mean fewer handshakes and less slowing by full tables, and where servers accept far fewer connections for a while, small parts still get theirs.

Shared tables and sticky kept.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,7 +19,7 @@
 const SETTLE: Micros = 2_500_000;
 /// A zone's table is cut into parts, the fewest with which its proxies fill no more than this part of a
 /// server's connections, as servers slow down while those fill; but so many of our proxies share one.
-const FILL: f64 = 0.2;
+const FILL: f64 = 0.1;
 const SHARED_BY: f64 = 3.5;
 /// The table below the switch: above the numbers of all parts.
 const SHARED: TableId = TableId(u16::MAX - 1);
@@ -40,8 +40,8 @@
 const COLD_MARGIN: f64 = 0.65;
 const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
-/// A part with young servers names so many warm ones of other zones, each with half of the young ones' weight
-/// or `ANCHORED` of the table's: if its warm servers all fail at once, the young don't carry its load alone.
+/// A part with cold servers names so many warm ones of other zones, each with half of the cold ones' weight
+/// or `ANCHORED` of the table's: if its warm servers all fail at once, the cold don't carry its load alone.
 const ANCHORS: usize = 2;
 const ANCHORED: f64 = 0.05;
 /// A table with ramping servers and so many times the fleet's load spills over other zones.
@@ -281,7 +281,7 @@
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
         let jammed = || self.zone_heat.get(&zone).is_some_and(|heat| *heat > JAM) || self.heat > HOT;
-        let spared = self.young(server) && jammed();
+        let spared = self.colder(server, YOUNG) && jammed();
         let fit = server.ready() && !server.down && self.now >= server.ramp_from && !spared;
         fit && server.links.get(&zone).is_none_or(|link| link.out_until.is_none())
     }
@@ -562,12 +562,12 @@
         let line = |s: &&Server| (s.listed.server, s.listed.weight * s.eased * self.spared(s, push));
         let mut lines: BTreeMap<_, _> = chosen.iter().map(line).collect();
         let parts = self.zoned && self.parts_of(zone).count() > 1;
-        let young: f64 = chosen.iter().filter(|s| parts && self.young(s)).map(|s| line(s).1).sum();
+        let cold: f64 = chosen.iter().filter(|s| parts && self.colder(s, 1.0)).map(|s| line(s).1).sum();
         let all: f64 = lines.values().sum();
         let far: Vec<_> =
-            usable().filter(|s| s.listed.zone != zone && !self.young(s) && young > 0.0).collect();
+            usable().filter(|s| s.listed.zone != zone && !self.colder(s, 1.0) && cold > 0.0).collect();
         let turned = far.iter().cycle().skip(usize::from(pool.0)).take(ANCHORS.min(far.len()));
-        turned.for_each(|s| _ = lines.entry(s.listed.server).or_insert((young / 2.0).min(ANCHORED * all)));
+        turned.for_each(|s| _ = lines.entry(s.listed.server).or_insert((cold / 2.0).min(ANCHORED * all)));
         lines
     }
 
@@ -576,15 +576,15 @@
         self.now.saturating_sub(server.listed.born) as f64 / self.set.cold.max(1) as f64
     }
 
-    fn young(&self, server: &Server) -> bool {
-        server.listed.born > 0 && self.warmth(server) < YOUNG
+    fn colder(&self, server: &Server, than: f64) -> bool {
+        server.listed.born > 0 && self.warmth(server) < than
     }
 
     /// Cold budget: a server's part stays under what it can take, were the fleet fully loaded. Guards against
     /// rolling deploys and zones that come back cold. Harm: they stay slow for longer.
     fn spared(&self, server: &Server, push: f64) -> f64 {
         let (ramp, warmth) = (self.ramp(server), self.warmth(server));
-        if server.listed.born == 0 || warmth >= 1.0 {
+        if !self.colder(server, 1.0) {
             return ramp;
         }
         let capacity = self.set.start_capacity + (1.0 - self.set.start_capacity) * warmth;
