Tighten the cold budget in a surge of requests

Change: the cold budget reckons with more tries by as much as requests are beyond 1.25 times their mean over ten seconds.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -35,11 +35,12 @@
 /// proxies avoid servers after a run of failures and a cold one gets their part, whatever its weight.
 const HOLD_OFF: f64 = 0.12;
 const YOUNG: f64 = 0.65;
-/// Cold budget: the part of it that may be used, and the tries for an answer that it reckons with: at least
-/// `SURGE`, as a jam is seen seconds late; beyond the most, answers fail rather than load grows.
+/// Cold budget: the part that may be used, and the tries for an answer that it reckons with: at least
+/// `SURGE`, as jams are seen late, times requests beyond `OVERLOAD` of their mean over `SURGE_SPAN`.
 const COLD_MARGIN: f64 = 0.65;
 const SURGE: f64 = 2.5;
 const MOST_PRESSURE: f64 = 6.0;
+const SURGE_SPAN: f64 = 10_000_000.0;
 /// A part with cold servers names so many warm ones of other zones, each with half of the cold ones' weight
 /// or `ANCHORED` of the table's: if its warm servers all fail at once, the cold don't carry its load alone.
 const ANCHORS: usize = 2;
@@ -232,9 +233,7 @@
     fn learn_probe(&mut self, server: ServerId, outcome: ProbeOutcome) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.note_probe(outcome);
-        if s.fails > 0 || s.down {
-            s.next_probe = self.now + PROBE_SUSPECT;
-        }
+        s.next_probe = if s.fails > 0 || s.down { self.now + PROBE_SUSPECT } else { s.next_probe };
     }
 
     /// What probes said of a zone's servers while its proxies were away may be but the cut between.
@@ -290,15 +289,16 @@
     /// the rest. Reports that stay away tell nothing: the last heat stands.
     fn survey(&mut self) {
         let (tries, errors) = self.sum_links(self.recent(), heat);
-        let joined = || self.proxies.values().filter(|p| p.joined);
-        let load = |k| joined().filter_map(|p| p.usual.get(&ClassId(k))).sum();
-        self.class_load = (0..self.set.classes.len() as u8).map(load).collect();
+        self.class_load = self.sum_usual();
+        let load = self.sum_rates();
+        self.load += if self.load > 0.0 { TICK as f64 / SURGE_SPAN } else { 1.0 } * (load - self.load);
         let part = TICK as f64 / (2.0 * self.report_span.max(EASE_EVERY as f64));
         self.good_rate += part * (std::mem::take(&mut self.good) / (TICK as f64 * 1e-6) - self.good_rate);
         self.good_peak = (self.good_peak * (1.0 - part * GOOD_FADES)).max(self.good_rate);
         self.heat = if self.median > 0.0 { self.median } else { self.heat };
         let least = if self.heat > COOL { MOST_PRESSURE } else { SURGE };
-        self.pressure = (tries / (tries - errors).max(1.0)).clamp(least, MOST_PRESSURE);
+        let surge = (load / (OVERLOAD * self.load).max(1e-9)).max(1.0);
+        self.pressure = surge * (tries / (tries - errors).max(1.0)).clamp(least, MOST_PRESSURE);
     }
 
     /// Guards against servers that are gone, silent or cut off from here. When most fail their probes, the
--- a/src/records.rs
+++ b/src/records.rs
@@ -189,6 +189,18 @@
         self.joined.get(&self.zone_of(pool)).is_some_and(|joined| *joined > 0)
     }
 
+    /// Requests a second by class that usually come to joined proxies.
+    pub(crate) fn sum_usual(&self) -> Vec<f64> {
+        let joined = || self.proxies.values().filter(|p| p.joined);
+        let load = |k| joined().filter_map(|p| p.usual.get(&ClassId(k))).sum();
+        (0..self.set.classes.len().min(256)).map(|k| load(k as u8)).collect()
+    }
+
+    /// Requests a second that come to joined proxies now.
+    pub(crate) fn sum_rates(&self) -> f64 {
+        self.proxies.values().filter(|p| p.joined).flat_map(|p| p.rates.values()).sum()
+    }
+
     /// Requests a second of a class that a proxy of these usually gets.
     pub(crate) fn mean_usual(&self, of: &BTreeSet<ProxyId>, class: ClassId) -> f64 {
         let rates = of.iter().filter_map(|id| self.proxies.get(id)?.usual.get(&class));
--- a/src/state.rs
+++ b/src/state.rs
@@ -145,6 +145,8 @@
     pub(crate) heat: f64,
     pub(crate) zone_heat: ByZone,
     pub(crate) pressure: f64,
+    /// Requests a second that come to our proxies, smoothed.
+    pub(crate) load: f64,
     /// Time that reports cover, smoothed: more than the period where they fall behind.
     pub(crate) report_span: f64,
     /// Good answers since the last round, their rate a second and its fading peak.
