Withhold nearly warm servers in a jam, for the rule on cold servers

Change: servers under 0.9 of their cold time get nothing while the fleet or their zone is jammed (heat over 1); young ones, under 0.65, from a heat of 0.6 as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,10 +31,11 @@
 /// not restarted and starts at a third of that span.
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
-/// Parts of its cold time in which a server gets nothing: at its start, and while the fleet is jammed, when
-/// proxies avoid servers after a run of failures and a cold one gets their part, whatever its weight.
+/// Parts of its cold time in which a server gets nothing: at its start; young, while the fleet is hot; nearly
+/// warm, while it is jammed, as proxies avoid servers after a run of failures and a cold one gets their part.
 const HOLD_OFF: f64 = 0.12;
 const YOUNG: f64 = 0.65;
+const NEARLY: f64 = 0.9;
 /// Cold budget: the part that may be used, and the tries for an answer that it reckons with: at least
 /// `SURGE`, as jams are seen late, times requests beyond `OVERLOAD` of their mean over `SURGE_SPAN`.
 const COLD_MARGIN: f64 = 0.65;
@@ -133,7 +134,10 @@
         self.now = now;
         self.ledger.begin(now);
         events.iter().for_each(|event| self.learn(event));
-        self.ask_discovery();
+        if self.ask_at.is_some_and(|at| now >= at) {
+            self.out.push(Action::Track);
+            self.ask_at = Some(now + ASK_MAX);
+        }
         let due = now >= self.next_tick;
         if due {
             let since = now.saturating_sub(self.next_tick) + TICK;
@@ -265,13 +269,6 @@
         link.at = self.now;
     }
 
-    fn ask_discovery(&mut self) {
-        if self.ask_at.is_some_and(|at| self.now >= at) {
-            self.out.push(Action::Track);
-            self.ask_at = Some(self.now + ASK_MAX);
-        }
-    }
-
     fn forget(&mut self) {
         let laid: BTreeSet<_> = self.tables.values().flat_map(|t| t.lines.keys().copied()).collect();
         self.servers.retain(|id, s| s.listed.state != ListState::Gone || laid.contains(id) || s.masked);
@@ -279,8 +276,8 @@
     }
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
-        let jammed = || self.zone_heat.get(&zone).is_some_and(|heat| *heat > JAM) || self.heat > HOT;
-        let spared = self.colder(server, YOUNG) && jammed();
+        let jammed = || self.zone_heat.get(&zone).copied().unwrap_or(0.0).max(self.heat) > JAM;
+        let spared = self.heat > HOT && self.colder(server, YOUNG) || self.colder(server, NEARLY) && jammed();
         let fit = server.ready() && !server.down && self.now >= server.ramp_from && !spared;
         fit && server.links.get(&zone).is_none_or(|link| link.out_until.is_none())
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -677,3 +677,34 @@
     assert_eq!(shed(0.2), 1.0);
     assert!(shed(4.0) < 0.9);
 }
+
+/// Found on a recorded release under overload at hobart-intake-later: servers four fifths warm got the part of
+/// those that proxies avoided.
+#[test]
+fn a_jam_spares_servers_that_are_nearly_warm_and_a_hot_fleet_young_ones_only() {
+    let part = |latency| {
+        let mut site = Site::running(settings(), 12);
+        site.pass(4 * SECOND, |_| good(12, latency));
+        let nearly = ListEntry { born: site.now - 12 * SECOND, ..entry(12, 0) };
+        site.feed(&[list(ListHow::Delta, &[nearly])]);
+        site.pass(SECOND, |_| good(12, latency));
+        site.weight(0, 12)
+    };
+    assert!(part(700_000) > 0.0, "hot");
+    assert_eq!(part(1_500_000), 0.0, "jammed");
+}
+
+/// Found on a hunted release with two bursts at once at hobart-intake-later: requests tell of a jam before tries.
+#[test]
+fn a_surge_of_requests_tightens_the_cold_budget() {
+    let part = |surge: u32| {
+        let mut site = Site::running(settings(), 12);
+        let events = |total: u32| (0..6).map(move |p| traffic(p, total));
+        site.pass(8 * SECOND, |_| good(12, 200_000).into_iter().chain(events(20)).collect());
+        let young = ListEntry { born: site.now - 8 * SECOND, ..entry(12, 0) };
+        site.feed(&[list(ListHow::Delta, &[young])]);
+        site.pass(3 * SECOND, |_| good(12, 200_000).into_iter().chain(events(20 * surge)).collect());
+        site.weight(0, 12)
+    };
+    assert!(part(4) < 0.8 * part(1), "{} {}", part(4), part(1));
+}
