--- a/crates/stepspur-model/src/proxy.rs
+++ b/crates/stepspur-model/src/proxy.rs
@@ -299,6 +299,11 @@
         self.lines.iter().filter(|(s, _)| !self.withdrawn.contains(s)).map(|(s, l)| (*s, l.weight))
     }
 
+    /// The level of a class, if one was ordered.
+    pub fn level(&self, class: usize) -> Option<&v1::Level> {
+        self.classes.get(class)?.level.as_ref()
+    }
+
     /// What was met since the last report; counting begins anew.
     pub fn report(&mut self, now: Micros) -> v1::Report {
         let period_us = now.saturating_sub(self.reported_at).max(1);
--- a/crates/stepspur-model/src/server.rs
+++ b/crates/stepspur-model/src/server.rs
@@ -2,19 +2,24 @@
 //!
 //! Requests in work share the cores evenly; those that find no slot wait in order; those that find no room are
 //! turned away. Work is told in microseconds of a core of speed 1. Capacity after a start rises evenly from
-//! [`Spec::cold_from`] to the full over [`Spec::cold`].
+//! [`Spec::cold_from`] to the full over [`Spec::cold`], or with every request that it answers.
+//!
+//! The driver calls [`Server::connect`], [`Server::offer`], [`Server::cancel`] and [`Server::drain`] as things
+//! happen, and [`Server::poll`] and [`Server::closed`] when [`Server::next_at`] says so. Time never goes back.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, StandardNormal};
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
 
 /// What a cancel does to a request in hand.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
 #[serde(rename_all = "snake_case")]
 pub enum Cancel {
     /// Nothing: it is worked off.
@@ -26,8 +31,33 @@
     All,
 }
 
+/// What warms a server up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
+#[serde(rename_all = "snake_case")]
+pub enum WarmBy {
+    /// Time since its start: [`Spec::cold`].
+    #[default]
+    Time,
+    /// Requests answered since its start: [`Spec::cold_requests`].
+    Requests,
+}
+
+/// What a server that drains does with what still comes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
+#[serde(rename_all = "snake_case")]
+pub enum Draining {
+    /// It closes idle connections and serves whatever comes until it is stopped.
+    #[default]
+    Serves,
+    /// It closes idle connections, accepts none, and turns away what comes on those that are left.
+    Refuses,
+}
+
 /// A server's make.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
 #[serde(deny_unknown_fields, default)]
 pub struct Spec {
     /// Cores.
@@ -44,8 +74,12 @@
     pub thrash: f64,
     /// Share of its capacity at a cold start.
     pub cold_from: f64,
+    /// What warms it up.
+    pub warm_by: WarmBy,
     /// Time until it is warm, microseconds.
     pub cold: Micros,
+    /// Requests until it is warm, by [`WarmBy::Requests`].
+    pub cold_requests: u64,
     /// It falls over when, while cold, work for more than this many times its present capacity comes...
     pub fall_multiple: f64,
     /// ... within this span, microseconds.
@@ -54,12 +88,26 @@
     pub cancel: Cancel,
     /// Share of requests that fail at once for no reason.
     pub error_rate: f64,
-    /// Work of a new connection, microseconds.
+    /// Connections that it accepts; 0: as many as come.
+    pub connections: usize,
+    /// Work of a new connection, microseconds; done with its first request.
     pub handshake_work: f64,
+    /// A connection without a request for so long is closed, microseconds; 0: never.
+    pub idle: Micros,
+    /// What it does while it drains.
+    pub draining: Draining,
+    /// It stands still every so often, microseconds, by itself ...
+    pub pause_every: Micros,
+    /// ... for so long, microseconds; 0: never.
+    pub pause: Micros,
     /// Work of a probe, microseconds.
     pub probe_work: f64,
     /// Load reports are refreshed so often, microseconds.
     pub report_every: Micros,
+    /// A load report is shown so much later, microseconds.
+    pub report_late: Micros,
+    /// Load reports are off by this standard deviation, as a share of the truth.
+    pub report_noise: f64,
     /// Keys met within this span, microseconds, ...
     pub key_span: Micros,
     /// ... need this share less work; 0: none.
@@ -78,14 +126,23 @@
             knee: 16.0,
             thrash: 0.1,
             cold_from: 0.35,
+            warm_by: WarmBy::Time,
             cold: 15_000_000,
+            cold_requests: 1000,
             fall_multiple: 3.0,
             fall_span: 3_000_000,
             cancel: Cancel::Queued,
             error_rate: 0.0,
+            connections: 0,
             handshake_work: 0.0,
+            idle: 0,
+            draining: Draining::Serves,
+            pause_every: 0,
+            pause: 0,
             probe_work: 0.0,
             report_every: 500_000,
+            report_late: 0,
+            report_noise: 0.0,
             key_span: 0,
             key_gain: 0.0,
             keys: 1000,
@@ -104,6 +161,28 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Job(pub u64);
 
+/// A connection, by a number of the server's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Conn(pub u64);
+
+/// What is asked of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// Its work, microseconds of a core of speed 1.
+    pub work: f64,
+    /// A key that the server may have met lately.
+    pub key: Option<u64>,
+    /// The connection on which it comes, if connections are played.
+    pub conn: Option<Conn>,
+}
+
+impl Ask {
+    /// Work alone, on no connection in particular.
+    pub fn of(work: f64) -> Self {
+        Self { work, ..Self::default() }
+    }
+}
+
 /// What became of an offered request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
@@ -155,10 +234,22 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     since: Micros,
+    conn: Option<Conn>,
     /// Holding no slot any more: cancelled.
     gone: bool,
 }
 
+/// A connection that stands.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    /// No request has come on it yet.
+    new: bool,
+    /// Requests in hand on it.
+    held: usize,
+    /// Since when it has had none.
+    idle: Micros,
+}
+
 /// A server in given time.
 #[derive(Debug)]
 pub struct Server {
@@ -184,8 +275,15 @@
     keys: BTreeMap<u64, Micros>,
     key_order: VecDeque<(Micros, u64)>,
     done: VecDeque<Done>,
-    reported: Load,
-    reported_at: Micros,
+    conns: BTreeMap<Conn, Open>,
+    /// Connections with no request, by the time since when.
+    idle: BTreeSet<(Micros, Conn)>,
+    next_conn: u64,
+    closed: VecDeque<Conn>,
+    drains: bool,
+    answered: u64,
+    /// Load reports by the time at which they were made, the one shown first.
+    reports: VecDeque<(Micros, Load)>,
     latency: f64,
     busy: f64,
 }
@@ -198,8 +296,7 @@
 impl Server {
     /// A server that is warm, or has started just now.
     pub fn new(spec: Spec, seed: u64, now: Micros, warm: bool) -> Self {
-        Self {
-            spec,
+        let mut server = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now,
             started: if warm { 0 } else { now },
@@ -217,11 +314,32 @@
             keys: BTreeMap::new(),
             key_order: VecDeque::new(),
             done: VecDeque::new(),
-            reported: Load::default(),
-            reported_at: 0,
+            conns: BTreeMap::new(),
+            idle: BTreeSet::new(),
+            // Not the numbers of an earlier life at the same address.
+            next_conn: now,
+            closed: VecDeque::new(),
+            drains: false,
+            answered: 0,
+            reports: VecDeque::new(),
             latency: 0.0,
             busy: 0.0,
-        }
+            spec,
+        };
+        server.time_pauses(now);
+        server
+    }
+
+    fn pauses(&self) -> Option<(Micros, Micros)> {
+        let own = (self.spec.pause > 0).then_some((self.spec.pause_every, self.spec.pause));
+        self.ails.pauses.or(own)
+    }
+
+    fn time_pauses(&mut self, now: Micros) {
+        self.next_pause = match self.pauses() {
+            Some((every, _)) => now + self.rng.random_range(0..every.max(1)),
+            None => 0,
+        };
     }
 
     /// Its make.
@@ -246,38 +364,120 @@
 
     /// The share of its capacity that it has.
     pub fn warmth(&self, now: Micros) -> f64 {
-        if self.started == 0 || self.spec.cold == 0 {
+        if self.started == 0 {
             return 1.0;
         }
-        let age = now.saturating_sub(self.started) as f64 / self.spec.cold as f64;
+        let age = match self.spec.warm_by {
+            WarmBy::Time => now.saturating_sub(self.started) as f64 / self.spec.cold.max(1) as f64,
+            WarmBy::Requests => self.answered as f64 / self.spec.cold_requests.max(1) as f64,
+        };
         (self.spec.cold_from + (1.0 - self.spec.cold_from) * age).min(1.0)
     }
 
     /// Sets what goes wrong from now on.
     pub fn ail(&mut self, now: Micros, ails: Ails) {
         self.advance(now);
-        if ails.pauses != self.ails.pauses {
-            self.next_pause =
-                ails.pauses.map_or(0, |(every, _)| now + self.rng.random_range(0..every.max(1)));
-        }
+        let other = ails.pauses != self.ails.pauses;
         self.ails = ails;
+        if other {
+            self.time_pauses(now);
+        }
+    }
+
+    /// A connection is dialled; none if the server has as many as it accepts, drains, or has fallen over.
+    pub fn connect(&mut self, now: Micros) -> Option<Conn> {
+        self.advance(now);
+        let full = self.spec.connections > 0 && self.conns.len() >= self.spec.connections;
+        let refuses = self.drains && self.spec.draining == Draining::Refuses;
+        if full || refuses || self.fallen {
+            return None;
+        }
+        self.next_conn += 1;
+        let conn = Conn(self.next_conn);
+        self.conns.insert(conn, Open { new: true, held: 0, idle: now });
+        // While it drains, one who dials is served once before the connection is closed.
+        if !self.drains {
+            self.idle.insert((now, conn));
+        }
+        Some(conn)
+    }
+
+    /// The other side has closed a connection. Requests on it go on until they are cancelled.
+    pub fn disconnect(&mut self, now: Micros, conn: Conn) {
+        self.advance(now);
+        self.close(conn);
+    }
+
+    /// True: no request has come on it yet.
+    pub fn is_new(&self, conn: Conn) -> bool {
+        self.conns.get(&conn).is_some_and(|open| open.new)
+    }
+
+    /// Connections that stand.
+    pub fn connections(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// The next connection that the server has closed by now: idle for too long, or with nothing to do while it
+    /// drains.
+    pub fn closed(&mut self, now: Micros) -> Option<Conn> {
+        self.advance(now);
+        if self.spec.idle > 0 || self.drains {
+            let patience = if self.drains { 0 } else { self.spec.idle };
+            while let Some((since, conn)) = self.idle.first().copied().filter(|(at, _)| at + patience <= now)
+            {
+                self.idle.remove(&(since, conn));
+                self.conns.remove(&conn);
+                self.closed.push_back(conn);
+            }
+        }
+        self.closed.pop_front()
     }
 
-    /// A request comes: so much work, on a new connection or not, with a key that it may know.
-    pub fn offer(
-        &mut self,
-        now: Micros,
-        job: Job,
-        work: f64,
-        new_connection: bool,
-        key: Option<u64>,
-    ) -> Offer {
+    /// It drains from now on: what it holds is worked off.
+    pub fn drain(&mut self, now: Micros) {
+        self.advance(now);
+        self.drains = true;
+    }
+
+    /// True: it drains and holds nothing.
+    pub fn drained(&self) -> bool {
+        self.drains && self.held.is_empty()
+    }
+
+    fn close(&mut self, conn: Conn) {
+        if let Some(open) = self.conns.remove(&conn) {
+            self.idle.remove(&(open.idle, conn));
+        }
+    }
+
+    fn occupy(&mut self, conn: Conn) {
+        if let Some(open) = self.conns.get_mut(&conn) {
+            if open.held == 0 {
+                self.idle.remove(&(open.idle, conn));
+            }
+            open.held += 1;
+        }
+    }
+
+    fn release(&mut self, conn: Option<Conn>) {
+        if let Some((conn, open)) = conn.and_then(|conn| Some((conn, self.conns.get_mut(&conn)?))) {
+            open.held -= 1;
+            if open.held == 0 {
+                open.idle = self.now;
+                self.idle.insert((self.now, conn));
+            }
+        }
+    }
+
+    /// A request comes.
+    pub fn offer(&mut self, now: Micros, job: Job, ask: Ask) -> Offer {
         self.advance(now);
         if self.fallen {
             return Offer::Fallen;
         }
-        let gain = if key.is_some_and(|key| self.knows(key)) { self.spec.key_gain } else { 0.0 };
-        let work = work * (1.0 - gain) + if new_connection { self.spec.handshake_work } else { 0.0 };
+        let gain = if ask.key.is_some_and(|key| self.knows(key)) { self.spec.key_gain } else { 0.0 };
+        let work = ask.work * (1.0 - gain) + self.opening(ask.conn);
         if self.push(work) {
             return Offer::Fallen;
         }
@@ -286,10 +486,14 @@
             return Offer::Failed;
         }
         let full = self.in_work >= self.spec.slots.max(1) as usize;
-        if full && self.waiting.len() >= self.spec.room as usize {
+        let refuses = self.drains && self.spec.draining == Draining::Refuses;
+        if refuses || full && self.waiting.len() >= self.spec.room as usize {
             return Offer::Full;
         }
-        self.held.insert(job, Running { since: now, gone: false });
+        self.held.insert(job, Running { since: now, conn: ask.conn, gone: false });
+        if let Some(conn) = ask.conn {
+            self.occupy(conn);
+        }
         if full {
             self.waiting.push_back((job, work));
         } else {
@@ -298,29 +502,53 @@
         Offer::Taken
     }
 
-    /// Whoever sent it waits no longer.
-    pub fn cancel(&mut self, now: Micros, job: Job) {
+    /// What the first request on a connection costs beside its own work.
+    fn opening(&mut self, conn: Option<Conn>) -> f64 {
+        let open = conn.and_then(|conn| self.conns.get_mut(&conn));
+        let new = open.is_some_and(|open| std::mem::replace(&mut open.new, false));
+        if new { self.spec.handshake_work } else { 0.0 }
+    }
+
+    /// Whoever sent it waits no longer; true: it has gone, and nothing more comes of it.
+    pub fn cancel(&mut self, now: Micros, job: Job) -> bool {
         self.advance(now);
         if self.spec.cancel == Cancel::None {
-            return;
+            return false;
         }
         if let Some(place) = self.waiting.iter().position(|(waiting, _)| *waiting == job) {
             self.waiting.remove(place);
-            self.held.remove(&job);
-        } else if self.spec.cancel == Cancel::All
-            && let Some(running) = self.held.get_mut(&job).filter(|r| !r.gone)
-        {
-            running.gone = true;
-            self.in_work -= 1;
-            self.fill();
+            let held = self.held.remove(&job);
+            self.release(held.and_then(|held| held.conn));
+            return true;
         }
+        if self.spec.cancel != Cancel::All {
+            return false;
+        }
+        let Some(running) = self.held.get_mut(&job).filter(|r| !r.gone) else { return false };
+        running.gone = true;
+        let conn = running.conn;
+        self.release(conn);
+        self.in_work -= 1;
+        self.fill();
+        true
     }
 
     /// When [`Server::poll`] next has something to tell.
     pub fn next_at(&self) -> Option<Micros> {
-        if !self.done.is_empty() {
+        if !self.done.is_empty() || !self.closed.is_empty() {
             return Some(self.now);
         }
+        let patience = if self.drains { Some(0) } else { Some(self.spec.idle).filter(|idle| *idle > 0) };
+        let closes =
+            patience.and_then(|patience| Some(self.idle.first()?.0 + patience)).map(|at| at.max(self.now));
+        match (self.works_at(), closes) {
+            (Some(works), Some(closes)) => Some(works.min(closes)),
+            (works, closes) => works.or(closes),
+        }
+    }
+
+    /// When the work in hand next changes.
+    fn works_at(&self) -> Option<Micros> {
         if self.ails.hangs || self.in_work == 0 {
             return None;
         }
@@ -330,7 +558,7 @@
         let rate = self.rate();
         let due = self.running.peek().map(|Reverse((at, _))| (*at as f64 / FINE - self.given).max(0.0))?;
         let mut at = self.now + (due / rate).ceil().max(1.0) as Micros;
-        if self.ails.pauses.is_some() {
+        if self.pauses().is_some() {
             at = at.min(self.next_pause.max(self.now + 1));
         }
         // Rates are those at a step's beginning while capacity rises.
@@ -355,20 +583,27 @@
         Some(self.load(now))
     }
 
-    /// The newest load report: refreshed now and then, so it may be old.
+    /// The load report that shows now: refreshed now and then, told late and with an error, as its make says.
     pub fn load(&mut self, now: Micros) -> Load {
-        if now >= self.reported_at + self.spec.report_every || self.reported_at == 0 {
-            self.reported_at = now;
+        if self.reports.back().is_none_or(|(at, _)| now >= at + self.spec.report_every) {
             let busy = (self.in_work as f64 / f64::from(self.spec.cores.max(1))).min(1.0);
             self.busy += 0.5 * (busy - self.busy);
-            self.reported = Load {
-                rif: self.held() as f64,
-                q: self.waiting.len() as f64,
-                busy: self.busy,
-                lat_ms: self.latency / 1e3,
-            };
+            let truth = [self.held() as f64, self.waiting.len() as f64, self.busy, self.latency / 1e3];
+            let noise = self.spec.report_noise;
+            let [rif, q, busy, lat_ms] = truth.map(|value| match noise > 0.0 {
+                true => {
+                    let error: f64 = StandardNormal.sample(&mut self.rng);
+                    (value * (1.0 + noise * error)).max(0.0)
+                }
+                false => value,
+            });
+            self.reports.push_back((now, Load { rif, q, busy: busy.min(1.0), lat_ms }));
+        }
+        while self.reports.get(1).is_some_and(|(at, _)| at + self.spec.report_late <= now) {
+            self.reports.pop_front();
         }
-        self.reported
+        let shown = self.reports.front().filter(|(at, _)| at + self.spec.report_late <= now);
+        shown.map_or(Load::default(), |(_, load)| *load)
     }
 
     fn knows(&mut self, key: u64) -> bool {
@@ -404,6 +639,8 @@
             return false;
         }
         self.fallen = true;
+        self.closed.extend(std::mem::take(&mut self.conns).into_keys());
+        self.idle.clear();
         self.waiting.clear();
         self.running.clear();
         self.in_work = 0;
@@ -439,7 +676,7 @@
     /// Plays the time up to `now`.
     fn advance(&mut self, now: Micros) {
         while self.now < now {
-            if self.ails.hangs || self.fallen || self.in_work == 0 && self.ails.pauses.is_none() {
+            if self.ails.hangs || self.fallen || self.in_work == 0 && self.pauses().is_none() {
                 self.now = now;
                 return;
             }
@@ -447,14 +684,14 @@
                 self.now = now.min(self.paused_until);
                 continue;
             }
-            if let Some((every, pause)) = self.ails.pauses.filter(|_| self.now >= self.next_pause) {
+            if let Some((every, pause)) = self.pauses().filter(|_| self.now >= self.next_pause) {
                 self.paused_until = self.now + pause;
                 let jitter = self.rng.random_range(0.8..1.2);
                 self.next_pause = self.paused_until + (every as f64 * jitter) as Micros;
                 continue;
             }
-            let mut until = self.next_at().unwrap_or(now).clamp(self.now + 1, now);
-            if self.ails.pauses.is_some() {
+            let mut until = self.works_at().unwrap_or(now).clamp(self.now + 1, now);
+            if self.pauses().is_some() {
                 until = until.min(self.next_pause.max(self.now + 1));
             }
             let rate = self.rate();
@@ -472,6 +709,8 @@
             self.running.pop();
             let Some(running) = self.held.remove(&job) else { continue };
             if !running.gone {
+                self.release(running.conn);
+                self.answered += 1;
                 self.in_work -= 1;
                 self.latency += 0.2 * ((self.now - running.since) as f64 - self.latency);
                 self.done.push_back(Done { job, good: true });
--- /dev/null
+++ b/crates/stepspur-model/src/work.rs
@@ -0,0 +1,62 @@
+//! Service times by name: how the work of a class of requests is spread about its mean.
+
+use rand::Rng;
+use rand_distr::{Distribution, Exp, LogNormal, Pareto};
+use serde::{Deserialize, Serialize};
+
+/// The form of a distribution of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
+#[serde(rename_all = "snake_case")]
+pub enum Form {
+    /// Always the mean.
+    Constant,
+    /// Exponential; its coefficient of variation is 1, whatever is asked for.
+    Exponential,
+    /// Log-normal.
+    #[default]
+    LogNormal,
+    /// Pareto, whose tail falls by a power: most requests are small, a few are huge.
+    Pareto,
+}
+
+/// A distribution of work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Work {
+    /// Its form.
+    pub form: Form,
+    /// Its mean, microseconds of a core of speed 1; above 0.
+    pub mean: f64,
+    /// Its coefficient of variation (standard deviation over mean); above 0 but for [`Form::Constant`].
+    pub cv: f64,
+}
+
+impl Work {
+    /// The second moment over the squared mean, as Pollaczek and Khinchine's formula asks for it.
+    pub fn second_moment(&self) -> f64 {
+        match self.form {
+            Form::Constant => 1.0,
+            Form::Exponential => 2.0,
+            Form::LogNormal | Form::Pareto => 1.0 + self.cv * self.cv,
+        }
+    }
+
+    /// A draw, microseconds.
+    pub fn sample(&self, rng: &mut impl Rng) -> f64 {
+        let drawn = match self.form {
+            Form::Constant => None,
+            Form::Exponential => Exp::new(1.0 / self.mean).ok().map(|d| d.sample(rng)),
+            Form::LogNormal => {
+                let spread = (1.0 + self.cv * self.cv).ln();
+                LogNormal::new(self.mean.ln() - spread / 2.0, spread.sqrt()).ok().map(|d| d.sample(rng))
+            }
+            Form::Pareto => {
+                // cv^2 = 1 / (a (a - 2)), solved for the shape a; the scale follows from the mean.
+                let shape = 1.0 + (1.0 + 1.0 / (self.cv * self.cv)).sqrt();
+                Pareto::new(self.mean * (shape - 1.0) / shape, shape).ok().map(|d| d.sample(rng))
+            }
+        };
+        // Parameters that make no distribution leave the mean.
+        drawn.unwrap_or(self.mean)
+    }
+}
--- a/crates/stepspur-model/tests/models.rs
+++ b/crates/stepspur-model/tests/models.rs
@@ -4,54 +4,20 @@
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-use rand_distr::{Distribution, Exp};
+use stepspur_model::memory::Memory;
 use stepspur_model::proxy::{self, Pick, Proxy, Tried};
-use stepspur_model::server::{Ails, Cancel, Done, Job, Offer, Server, Spec};
+use stepspur_model::server::{Ails, Ask, Cancel, Done, Draining, Job, Offer, Server, Spec, WarmBy};
 use stepspur_proto::v1;
 
 fn plain(cores: u32) -> Spec {
     Spec { cores, slots: cores, room: 100_000, thrash: 0.0, ..Spec::default() }
 }
 
-/// Mean time in the system of a queue in virtual time, in mean service times.
-fn mean_time(cores: u32, load: f64, seed: u64, jobs: u64) -> f64 {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let (arrivals, work) =
-        (Exp::new(load * f64::from(cores) / 10_000.0).unwrap(), Exp::new(1.0 / 10_000.0).unwrap());
-    let mut server = Server::new(plain(cores), seed, 0, true);
-    let (mut now, mut next, mut sent) = (0.0f64, 0, BTreeMap::new());
-    let (mut sum, mut counted) = (0.0, 0u64);
-    while next < jobs {
-        now += arrivals.sample(&mut rng);
-        while let Some(at) = server.next_at().filter(|at| *at as f64 <= now) {
-            while let Some(Done { job, .. }) = server.poll(at) {
-                sum += at as f64 - sent.remove(&job).unwrap_or(0.0);
-                counted += 1;
-            }
-        }
-        assert_eq!(server.offer(now as u64, Job(next), work.sample(&mut rng), false, None), Offer::Taken);
-        sent.insert(Job(next), now);
-        next += 1;
-    }
-    sum / counted as f64 / 10_000.0
-}
-
-/// M/M/1 at 0.7: 1 / (1 - 0.7). M/M/2 at 0.7: 1 / (1 - 0.49) (Erlang C).
-#[test]
-fn waiting_times_are_those_of_queueing_theory() {
-    for (cores, expected) in [(1, 1.0 / 0.3), (2, 1.0 / 0.51)] {
-        let runs: Vec<f64> = (0..8).map(|seed| mean_time(cores, 0.7, seed, 60_000)).collect();
-        let mean = runs.iter().sum::<f64>() / 8.0;
-        assert!((mean / expected - 1.0).abs() < 0.04, "{cores} cores: {mean} for {expected}");
-    }
-}
-
 fn drain(server: &mut Server, until: u64) -> Vec<Done> {
     let mut done = Vec::new();
     while let Some(at) = server.next_at().filter(|at| *at <= until) {
         done.extend(std::iter::from_fn(|| server.poll(at)));
+        while server.closed(at).is_some() {}
     }
     done
 }
@@ -62,17 +28,17 @@
     for (warm, falls) in [(false, true), (true, false)] {
         let mut server = Server::new(Spec::default(), 1, 1_000_000, warm);
         let offers: Vec<_> =
-            (0..400).map(|k| server.offer(1_000_000 + k * 5_000, Job(k), 100_000.0, false, None)).collect();
+            (0..400).map(|k| server.offer(1_000_000 + k * 5_000, Job(k), Ask::of(100_000.0))).collect();
         assert_eq!((server.fallen(), offers.contains(&Offer::Fallen)), (falls, falls));
         assert!(offers.contains(&Offer::Full) || falls);
-        assert_eq!(server.offer(100_000_000, Job(999), 1.0, false, None) == Offer::Fallen, falls);
+        assert_eq!(server.offer(100_000_000, Job(999), Ask::of(1.0)) == Offer::Fallen, falls);
     }
     // Held to its present capacity it warms up.
     let mut spared = Server::new(Spec::default(), 1, 1_000_000, false);
     for k in 0..200 {
         let now = 1_000_000 + k * 100_000;
         drain(&mut spared, now);
-        assert_eq!(spared.offer(now, Job(k), 50_000.0, false, None), Offer::Taken);
+        assert_eq!(spared.offer(now, Job(k), Ask::of(50_000.0)), Offer::Taken);
     }
     assert_eq!(spared.warmth(21_000_000), 1.0);
 }
@@ -80,22 +46,97 @@
 #[test]
 fn a_hang_a_pause_and_a_cancel_do_what_they_say() {
     let mut server = Server::new(plain(1), 1, 0, true);
-    server.offer(0, Job(1), 1000.0, false, None);
+    server.offer(0, Job(1), Ask::of(1000.0));
     server.ail(500, Ails { hangs: true, ..Ails::default() });
     assert_eq!((server.next_at(), server.poll(1_000_000), server.probe(1_000_000)), (None, None, None));
     server.ail(1_000_000, Ails::default());
     assert_eq!(drain(&mut server, 1_000_500).len(), 1, "what was held goes on");
     server.ail(2_000_000, Ails { pauses: Some((1, 300_000)), ..Ails::default() });
-    server.offer(2_000_010, Job(2), 1000.0, false, None);
+    server.offer(2_000_010, Job(2), Ask::of(1000.0));
     assert!(drain(&mut server, 2_200_000).is_empty(), "it stands still");
     for (cancel, left) in [(Cancel::None, 2), (Cancel::Queued, 1), (Cancel::All, 0)] {
         let mut server = Server::new(Spec { cancel, ..plain(1) }, 1, 0, true);
-        (0..2).for_each(|k| _ = server.offer(0, Job(k), 1000.0, false, None));
-        (0..2).rev().for_each(|k| server.cancel(10, Job(k)));
+        (0..2).for_each(|k| _ = server.offer(0, Job(k), Ask::of(1000.0)));
+        (0..2).rev().for_each(|k| _ = server.cancel(10, Job(k)));
         assert_eq!(drain(&mut server, 10_000).len(), left, "{cancel:?}");
     }
 }
 
+/// By time or by requests, a cold server comes to its full; by requests it stays cold while nothing comes.
+#[test]
+fn a_server_warms_up_by_time_or_by_requests() {
+    let by = |warm_by| Spec { warm_by, cold: 1_000_000, cold_requests: 10, cold_from: 0.4, ..plain(1) };
+    let timed = Server::new(by(WarmBy::Time), 1, 1_000_000, false);
+    assert_eq!([1_000_000, 1_500_000, 2_000_000].map(|at| timed.warmth(at)), [0.4, 0.7, 1.0]);
+    let mut asked = Server::new(by(WarmBy::Requests), 1, 1_000_000, false);
+    assert_eq!(asked.warmth(100_000_000), 0.4);
+    for k in 0..10 {
+        asked.offer(100_000_000 + k * 100_000, Job(k), Ask::of(1000.0));
+        drain(&mut asked, 100_000_000 + (k + 1) * 100_000);
+    }
+    assert_eq!(asked.warmth(102_000_000), 1.0);
+}
+
+/// A cap, a cost of opening paid once, an idle time, and a drain that closes what has nothing to do.
+#[test]
+fn connections_are_capped_cost_work_once_and_are_closed_when_idle() {
+    let spec = Spec { connections: 2, handshake_work: 500.0, idle: 10_000, ..plain(1) };
+    let mut server = Server::new(spec.clone(), 1, 0, true);
+    let (one, two) = (server.connect(0).unwrap(), server.connect(0).unwrap());
+    assert!(server.connect(0).is_none());
+    let ask = Ask { work: 1000.0, key: None, conn: Some(one) };
+    server.offer(0, Job(1), ask);
+    assert!(drain(&mut server, 1499).is_empty() && drain(&mut server, 1501).len() == 1);
+    server.offer(2000, Job(2), ask);
+    assert_eq!(drain(&mut server, 3001).len(), 1, "opened once only");
+    assert_eq!(
+        (server.next_at(), server.closed(10_000), server.closed(10_000)),
+        (Some(10_000), Some(two), None)
+    );
+    assert_eq!((server.closed(13_002), server.connections()), (Some(one), 0));
+    for (draining, connects, offer) in
+        [(Draining::Serves, true, Offer::Taken), (Draining::Refuses, false, Offer::Full)]
+    {
+        let mut server = Server::new(Spec { draining, ..spec.clone() }, 1, 0, true);
+        let (busy, bored) = (server.connect(0).unwrap(), server.connect(0).unwrap());
+        server.offer(0, Job(1), Ask { conn: Some(busy), ..ask });
+        server.drain(10);
+        assert_eq!((server.closed(10), server.closed(10)), (Some(bored), None));
+        assert_eq!(server.connect(10).is_some(), connects);
+        assert_eq!(server.offer(10, Job(2), Ask { conn: Some(busy), ..ask }), offer);
+        assert!(!server.drained());
+        assert!(!drain(&mut server, 100_000).is_empty() && server.drained(), "what waits is worked off");
+    }
+}
+
+#[test]
+fn load_reports_are_stale_late_and_noisy_as_told() {
+    let late = Spec { report_every: 1000, report_late: 5000, ..plain(1) };
+    let mut server = Server::new(late, 1, 0, true);
+    assert_eq!(server.load(0).rif, 0.0);
+    (0..3).for_each(|k| _ = server.offer(10, Job(k), Ask::of(1e6)));
+    assert_eq!([500, 1500, 5500, 6600].map(|at| server.load(at).rif), [0.0, 0.0, 0.0, 3.0]);
+    let mut noisy = Server::new(Spec { report_every: 1, report_noise: 0.3, ..plain(1) }, 1, 0, true);
+    (0..50).for_each(|k| _ = noisy.offer(0, Job(k), Ask::of(1e9)));
+    let seen: Vec<f64> = (1..2000).map(|at| noisy.load(at).rif).collect();
+    let mean = seen.iter().sum::<f64>() / seen.len() as f64;
+    let off = (seen.iter().map(|s| (s - 50.0).powi(2)).sum::<f64>() / seen.len() as f64).sqrt();
+    assert!((mean - 50.0).abs() < 1.5 && (off - 15.0).abs() < 1.5, "{mean} {off}");
+}
+
+#[test]
+fn a_group_remembers_within_its_window_and_forgets_what_never_ran() {
+    let mut memory = Memory::new(1000, 2);
+    assert_eq!(
+        [(0, 7), (500, 7), (1000, 7), (1001, 7)].map(|(at, r)| memory.meet(at, r)),
+        [false, true, true, false]
+    );
+    memory.forget(7);
+    assert!(!memory.meet(1002, 7));
+    (1..=3).for_each(|r| _ = memory.meet(1003, r));
+    assert!(memory.len() <= 3 && memory.meet(1004, 3), "the oldest go first");
+}
+
 fn address(k: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 9000 + k))
 }
@@ -240,9 +281,10 @@
         for (k, (wait, work, ail)) in offers.into_iter().enumerate() {
             now += wait;
             let pauses = (ail == 1).then_some((50_000, 20_000));
+            let ask = Ask { work, key: Some(work as u64 % 7), conn: server.connect(now).filter(|_| ail == 4) };
             server.ail(now, Ails { hangs: ail == 2, fails: if ail == 3 { 0.5 } else { 0.0 }, pauses, ..Ails::default() });
             ended.extend(drain(&mut server, now));
-            taken += usize::from(server.offer(now, Job(k as u64), work, ail == 4, Some(work as u64 % 7)) == Offer::Taken);
+            taken += usize::from(server.offer(now, Job(k as u64), ask) == Offer::Taken);
         }
         server.ail(now, Ails::default());
         ended.extend(drain(&mut server, now + 1_000_000_000));
--- a/crates/stepspur-rehearsal/src/clients.rs
+++ b/crates/stepspur-rehearsal/src/clients.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_distr::{Distribution, Exp, LogNormal, Zipf};
+use rand_distr::{Distribution, Exp, Zipf};
 use serde::Serialize;
 use stepspur_conductor::config::EffectConfig;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -154,9 +154,7 @@
         let part = |p: &Arc<Proxy>| if p.zone == zone { plan.proxies[p.index].weight } else { 0.0 };
         let proxy = weighted(rng, self.proxies.iter().map(part))?;
         let class_plan = &plan.classes[class];
-        let spread = (1.0 + class_plan.cv * class_plan.cv).ln();
-        let work = LogNormal::new(class_plan.work.ln() - spread / 2.0, spread.sqrt());
-        let mut work = work.map_or(class_plan.work, |d| d.sample(rng));
+        let mut work = class_plan.distribution().sample(rng);
         for (tail, part, times) in weather.tails {
             if tail == class && rng.random_bool(part.clamp(0.0, 1.0)) {
                 work *= times;
--- a/crates/stepspur-rehearsal/src/judge.rs
+++ b/crates/stepspur-rehearsal/src/judge.rs
@@ -150,7 +150,8 @@
     started: Micros,
     capacity: f64,
     cold_from: f64,
-    cold: Micros,
+    /// None: warmed by requests, so only its fall counts.
+    cold: Option<Micros>,
     /// When work came, how much, and whether it came from one who should have known.
     pushed: VecDeque<(Micros, f64, bool)>,
     fell: bool,
@@ -162,6 +163,8 @@
     proxies: BTreeMap<usize, Seen>,
     told: BTreeMap<SocketAddr, Told>,
     fresh: BTreeMap<SocketAddr, Fresh>,
+    /// Attempts of a client's try whose effect has taken place, of classes that must not run twice.
+    effects: BTreeMap<(RequestId, u32), (u32, SocketAddr)>,
     /// Earlier attempts of a client's try that may have run.
     ran: BTreeMap<(RequestId, u32), Vec<(Micros, SocketAddr)>>,
     /// Lines in the channel: when they came in and when they were read.
@@ -177,6 +180,7 @@
             proxies: BTreeMap::new(),
             told: BTreeMap::new(),
             fresh: BTreeMap::new(),
+            effects: BTreeMap::new(),
             ran: BTreeMap::new(),
             lines: Vec::new(),
             breaks: BTreeMap::new(),
@@ -213,6 +217,7 @@
                 let (started, capacity, cold_from, cold) = (at, *capacity, *cold_from, *cold);
                 self.fresh.insert(*server, Fresh { started, capacity, cold_from, cold, ..Fresh::default() });
             }
+            Event::Ran { server, request, class } => self.ran(at, *server, *request, *class),
             Event::Fell { server } => self.fell(at, *server),
             Event::Arrived(arrival) => self.arrival(at, arrival),
         }
@@ -349,6 +354,7 @@
         let first = earlier.first().copied();
         let may_have_run = match arrival.came {
             Came::Taken | Came::Failed | Came::Fallen => true,
+            Came::Known => false,
             Came::Full => self.figures.full_may_have_run,
         };
         if may_have_run && effect != EffectConfig::ReadLike {
@@ -376,10 +382,30 @@
         }
     }
 
+    /// Rule 2 by what took place: two attempts of one try that both ran. No memory has dropped the second, so
+    /// whatever the settings say of groups and windows, the effect is there twice.
+    fn ran(&mut self, at: Micros, server: SocketAddr, request: (RequestId, u32, u32), class: usize) {
+        let effect = self.figures.effects.get(class).map(|(effect, ..)| *effect);
+        if effect.is_none_or(|effect| effect == EffectConfig::ReadLike) {
+            return;
+        }
+        let (id, client_try, attempt) = request;
+        match self.effects.insert((id, client_try), (attempt, server)) {
+            Some((first, at_first)) if first != attempt => {
+                let id = id.0;
+                let what = format!(
+                    "request {id} ran twice by one try: attempt {first} at {at_first}, attempt {attempt} at {server}"
+                );
+                self.broken(Rule::Once, at, what);
+            }
+            _ => {}
+        }
+    }
+
     /// Rule 4: work that comes to a cold server.
     fn push(&mut self, at: Micros, arrival: &Arrival) {
         let Some(fresh) = self.fresh.get_mut(&arrival.server) else { return };
-        if at > fresh.started + fresh.cold {
+        if fresh.cold.is_some_and(|cold| at > fresh.started + cold) {
             return;
         }
         let grace = self.figures.drain_grace;
@@ -395,7 +421,8 @@
         while fresh.pushed.front().is_some_and(|(pushed, ..)| *pushed < from) {
             fresh.pushed.pop_front();
         }
-        let age = (at - fresh.started) as f64 / fresh.cold.max(1) as f64;
+        let Some(cold) = fresh.cold else { return };
+        let age = (at - fresh.started) as f64 / cold.max(1) as f64;
         let warmth = (fresh.cold_from + (1.0 - fresh.cold_from) * age).min(1.0);
         let budget = self.figures.fall_multiple * fresh.capacity * warmth * self.figures.fall_span as f64;
         let all: f64 = fresh.pushed.iter().map(|p| p.1).sum();
--- a/crates/stepspur-rehearsal/src/lib.rs
+++ b/crates/stepspur-rehearsal/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plan;
 pub mod proxy;
 pub mod registry;
+pub mod relay;
 pub mod replay;
 pub mod run;
 pub mod scenario;
--- a/crates/stepspur-rehearsal/src/links.rs
+++ b/crates/stepspur-rehearsal/src/links.rs
@@ -1,18 +1,19 @@
-//! Links between zones, and between zones and the conductor: cut, slow or lossy. They act where a stand-in sends.
+//! Links between zones, and between zones and the conductor: cut, slow or lossy. Relays
+//! ([`crate::relay`]) play them.
 
 use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::trace::lock;
 
-/// What a link does to a request.
+/// What a link does to bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Link {
     /// Nothing passes.
     pub cut: bool,
     /// It takes so much longer.
     pub delay: Duration,
-    /// This part is lost.
+    /// This part of chunks is lost and sent again.
     pub loss: f64,
 }
 
--- a/crates/stepspur-rehearsal/src/node.rs
+++ b/crates/stepspur-rehearsal/src/node.rs
@@ -1,8 +1,7 @@
 //! A stand-in server: the model behind an HTTP socket of its own.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -14,14 +13,19 @@
 use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stepspur_model::server::{Ails, Job, Load, Offer, Server};
+use stepspur_conductor::config::{EffectConfig, GroupConfig};
+use stepspur_model::Micros;
+use stepspur_model::memory::Memory;
+use stepspur_model::server::{Ails, Ask, Conn, Job, Load, Offer, Server, WarmBy};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Notify, Semaphore, oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::links::Links;
-use crate::plan::{Lie, ServerPlan};
+use crate::links::{Link, Links};
+use crate::plan::{Lie, Plan, ServerPlan};
+use crate::relay;
 use crate::trace::{Arrival, Came, Event, RequestId, Trace, lock};
 
 /// Headers of a request on its way to a server.
@@ -70,8 +74,50 @@
 #[error("the answer is lost")]
 struct Reset;
 
+/// What groups of servers remember of classes whose keys make repeats harmless.
+#[derive(Debug)]
+pub struct Memories {
+    /// By class: who shares a memory, and for how long.
+    groups: Vec<Option<(GroupConfig, Micros)>>,
+    met: Mutex<BTreeMap<(usize, usize), Memory>>,
+}
+
+/// Requests that a group remembers at most.
+const REMEMBERED: usize = 1_000_000;
+
+impl Memories {
+    /// Those of a day's classes.
+    pub fn new(plan: &Plan) -> Self {
+        let keyed = plan.classes.iter().map(|c| {
+            (c.effect == EffectConfig::IdempotencyKey).then_some((c.group, c.window.as_micros() as Micros))
+        });
+        Self { groups: keyed.collect(), met: Mutex::default() }
+    }
+
+    fn with<T>(&self, class: usize, node: &Node, act: impl FnOnce(&mut Memory) -> T) -> Option<T> {
+        let (group, window) = self.groups.get(class).copied().flatten()?;
+        let place = match group {
+            GroupConfig::All => 0,
+            GroupConfig::Zone => node.zone,
+            GroupConfig::Cell => node.index,
+        };
+        let mut met = lock(&self.met);
+        Some(act(met.entry((class, place)).or_insert_with(|| Memory::new(window, REMEMBERED))))
+    }
+}
+
+/// A request in hand.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    request: (RequestId, u32, u32),
+    class: usize,
+}
+
 struct State {
     server: Server,
+    running: HashMap<Job, Running>,
+    /// Connections that stand: cancelled when the server closes them.
+    conns: HashMap<Conn, CancellationToken>,
     /// Rises with every start: what an earlier life held is lost.
     life: u64,
     next: u64,
@@ -84,6 +130,8 @@
 pub struct Node {
     /// Its address, the same in all its lives.
     pub address: SocketAddr,
+    /// Its place.
+    pub index: usize,
     /// Its zone's place.
     pub zone: usize,
     /// Its listed weight.
@@ -94,18 +142,21 @@
     up: watch::Sender<bool>,
     links: Arc<Links>,
     conductor_zone: usize,
+    memories: Arc<Memories>,
     trace: Arc<Trace>,
 }
 
 impl Node {
     /// Takes an address; [`Node::run`] serves it.
     pub fn new(
-        plan: &ServerPlan,
-        seed: u64,
+        day: &Plan,
+        index: usize,
         links: Arc<Links>,
-        conductor_zone: usize,
+        memories: Arc<Memories>,
         trace: Arc<Trace>,
     ) -> std::io::Result<(Arc<Self>, TcpSocket)> {
+        let plan = &day.servers[index];
+        let seed = day.seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let socket = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let address = socket.local_addr()?;
         let lot = Lot {
@@ -123,12 +174,15 @@
             server: Server::new(plan.spec.clone(), seed, trace.now(), true),
             life: 0,
             next: 0,
+            running: HashMap::new(),
+            conns: HashMap::new(),
             waiting: HashMap::new(),
             lot,
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
         };
         let node = Self {
             address,
+            index,
             zone: plan.zone,
             weight: plan.weight,
             plan: plan.clone(),
@@ -136,7 +190,8 @@
             news: Notify::new(),
             up: watch::Sender::new(plan.up),
             links,
-            conductor_zone,
+            conductor_zone: day.conductor_zone,
+            memories,
             trace,
         };
         Ok((Arc::new(node), socket))
@@ -145,9 +200,38 @@
     /// Its process dies: connections break, and what it held is lost.
     pub fn stop(&self) {
         self.up.send_replace(false);
-        let mut state = lock(&self.state);
+        self.forget(&mut lock(&self.state));
+    }
+
+    /// A life ends with all that it held: what had not run may run elsewhere.
+    fn forget(&self, state: &mut State) {
         state.life += 1;
         state.waiting.clear();
+        state.conns.clear();
+        for (_, Running { request, class }) in state.running.drain() {
+            self.memories.with(class, self, |memory| memory.forget(request.0.0));
+        }
+    }
+
+    /// It drains: what it holds is worked off, connections with nothing to do are closed.
+    pub fn drain(&self) {
+        lock(&self.state).server.drain(self.trace.now());
+        self.news.notify_one();
+    }
+
+    /// Requests in hand, and cores; none while it is down.
+    pub fn held(&self) -> Option<(usize, u32)> {
+        self.is_up().then(|| (lock(&self.state).server.held(), self.plan.spec.cores))
+    }
+
+    /// True: it fell over and stays down until it is started again.
+    pub fn fallen(&self) -> bool {
+        lock(&self.state).server.fallen()
+    }
+
+    /// True: it has started not long ago.
+    pub fn cold(&self) -> bool {
+        lock(&self.state).server.warmth(self.trace.now()) < 1.0
     }
 
     /// Its process starts, cold.
@@ -155,8 +239,7 @@
         let now = self.trace.now();
         {
             let mut state = lock(&self.state);
-            state.life += 1;
-            state.waiting.clear();
+            self.forget(&mut state);
             let seed = state.rng.random();
             state.server = Server::new(self.plan.spec.clone(), seed, now, false);
             let ails = state.lot.ails;
@@ -167,7 +250,7 @@
             server: self.address,
             capacity: spec.capacity(),
             cold_from: spec.cold_from,
-            cold: spec.cold,
+            cold: (spec.warm_by == WarmBy::Time).then_some(spec.cold),
         });
         self.up.send_replace(true);
     }
@@ -255,11 +338,10 @@
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, connections: &mut JoinSet<()>) {
-        let room = Arc::new(Semaphore::new(self.plan.connections));
         loop {
-            let socket = tokio::select! {
+            let (socket, peer) = tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((socket, _)) => socket,
+                    Ok(accepted) => accepted,
                     Err(_) => {
                         tokio::time::sleep(Duration::from_millis(5)).await;
                         continue;
@@ -267,39 +349,89 @@
                 },
                 Some(_) = connections.join_next() => continue,
             };
-            let (divide, silent) = {
-                let state = lock(&self.state);
-                (state.lot.connections_divide, state.lot.silent)
-            };
-            let held = self.plan.connections - room.available_permits();
-            let cap = (self.plan.connections as f64 / divide) as usize;
-            let Some(place) = Arc::clone(&room).try_acquire_owned().ok().filter(|_| held < cap || silent)
-            else {
-                continue;
-            };
             let node = Arc::clone(self);
-            connections.spawn(async move {
-                node.connection(socket).await;
-                drop(place);
-            });
+            connections.spawn(async move { node.connection(socket, peer).await });
         }
     }
 
-    async fn connection(self: Arc<Self>, socket: TcpStream) {
+    /// A connection by the relay before this server: bytes come and go as its link has it.
+    async fn connection(self: Arc<Self>, mut socket: TcpStream, peer: SocketAddr) {
         let _ = socket.set_nodelay(true);
+        let of_proxy = relay::zone_of(peer);
+        let from = of_proxy.unwrap_or(self.conductor_zone);
+        let link = || self.links.between(from, self.zone);
+        let (silent, lost, seed) = {
+            let mut state = lock(&self.state);
+            let loss = link().loss;
+            let lost = loss > 0.0 && state.rng.random_bool(loss.min(1.0));
+            (state.lot.silent, lost, state.rng.random())
+        };
+        if silent {
+            // Nobody is there: the dial hangs until it is given up.
+            _ = socket.read_u8().await;
+            return;
+        }
+        // Probes of the conductor know no byte of opening; a cut link holds what they send.
+        if of_proxy.is_some() && (link().cut || lost) {
+            relay::open(&mut socket, Link { cut: true, ..link() }, lost).await;
+            return;
+        }
+        let Some((conn, closing)) = self.connect() else { return };
+        let _open = Standing { node: &self, conn };
+        if of_proxy.is_some() && !relay::open(&mut socket, link(), false).await {
+            return;
+        }
         let delay = lock(&self.state).lot.handshakes_delay;
         tokio::time::sleep(delay).await;
-        let new = AtomicBool::new(true);
+        if from == self.zone {
+            return self.http(socket, conn, closing).await;
+        }
+        let (near, far) = tokio::io::duplex(64 * 1024);
+        let carried = relay::carry(socket, far, link, seed);
+        tokio::pin!(carried);
+        tokio::select! {
+            () = &mut carried => {}
+            () = self.http(near, conn, closing) => {
+                // What was answered last is still on its way.
+                let _ = tokio::time::timeout(Duration::from_secs(5), carried).await;
+            }
+        }
+    }
+
+    fn connect(&self) -> Option<(Conn, CancellationToken)> {
+        let mut state = lock(&self.state);
+        let cap = (self.plan.spec.connections as f64 / state.lot.connections_divide) as usize;
+        if self.plan.spec.connections > 0 && state.server.connections() >= cap {
+            return None;
+        }
+        let conn = state.server.connect(self.trace.now())?;
+        let closing = CancellationToken::new();
+        state.conns.insert(conn, closing.clone());
+        drop(state);
+        self.news.notify_one();
+        Some((conn, closing))
+    }
+
+    async fn http(
+        self: &Arc<Self>,
+        socket: impl AsyncRead + AsyncWrite + Unpin,
+        conn: Conn,
+        closing: CancellationToken,
+    ) {
         let service = service_fn(|request: Request<Incoming>| {
-            let new = new.swap(false, Ordering::Relaxed);
-            let node = Arc::clone(&self);
-            async move { node.answer(request, new).await }
+            let node = Arc::clone(self);
+            async move { node.answer(request, conn).await }
         });
-        let _ =
-            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(socket), service).await;
+        let http = hyper::server::conn::http1::Builder::new();
+        let mut serving = std::pin::pin!(http.serve_connection(TokioIo::new(socket), service));
+        tokio::select! {
+            _ = &mut serving => return,
+            () = closing.cancelled() => serving.as_mut().graceful_shutdown(),
+        }
+        let _ = serving.await;
     }
 
-    async fn answer(&self, request: Request<Incoming>, new: bool) -> Result<Response<Full<Bytes>>, Reset> {
+    async fn answer(&self, request: Request<Incoming>, conn: Conn) -> Result<Response<Full<Bytes>>, Reset> {
         if request.uri().path() == "/load" {
             return Ok(self.probed().await);
         }
@@ -309,13 +441,14 @@
         let key = number(&request, header::KEY);
         let offered = {
             let mut state = lock(&self.state);
-            if state.lot.silent { None } else { Some(self.offer(&mut state, &mut arrival, new, key)) }
+            if state.lot.silent { None } else { Some(self.offer(&mut state, &mut arrival, conn, key)) }
         };
         let Some(Offered { came, held, lost, by_reset }) = offered else {
             return std::future::pending().await;
         };
         arrival.came = came;
         let class_answer = match came {
+            Came::Known => Some(plain(StatusCode::OK)),
             Came::Full => Some(never_ran()),
             Came::Failed => Some(plain(StatusCode::INTERNAL_SERVER_ERROR)),
             Came::Fallen => Some(plain(StatusCode::BAD_GATEWAY)),
@@ -337,17 +470,21 @@
         }
     }
 
-    fn offer(&self, state: &mut State, arrival: &mut Arrival, new: bool, key: Option<u64>) -> Offered {
+    fn offer(&self, state: &mut State, arrival: &mut Arrival, conn: Conn, key: Option<u64>) -> Offered {
         let now = self.trace.now();
+        let id = arrival.request.0.0;
+        if self.memories.with(arrival.class, self, |memory| memory.meet(now, id)) == Some(true) {
+            return Offered { came: Came::Known, held: None, lost: false, by_reset: false };
+        }
         state.next += 1;
         let job = Job(state.next);
         let fell = state.server.fallen();
-        if new {
-            arrival.work += self.plan.spec.handshake_work * (state.lot.handshakes_times - 1.0);
-        }
-        let offer = state.server.offer(now, job, arrival.work, new, key);
         // What the judge counts is what the server counts.
-        arrival.work += if new { self.plan.spec.handshake_work } else { 0.0 };
+        let opening = state.server.is_new(conn).then_some(self.plan.spec.handshake_work).unwrap_or_default();
+        let dearer = opening * (state.lot.handshakes_times - 1.0);
+        let ask = Ask { work: arrival.work + dearer, key, conn: Some(conn) };
+        let offer = state.server.offer(now, job, ask);
+        arrival.work += opening + dearer;
         if state.server.fallen() && !fell {
             self.trace.note(Event::Fell { server: self.address });
         }
@@ -359,7 +496,12 @@
         };
         let lose = state.lot.lose_answers;
         let lost = lose > 0.0 && state.rng.random_bool(lose.min(1.0));
+        if came != Came::Taken {
+            self.memories.with(arrival.class, self, |memory| memory.forget(id));
+        }
         let held = (came == Came::Taken).then(|| {
+            let running = Running { request: arrival.request, class: arrival.class };
+            state.running.insert(job, running);
             let (to, done) = oneshot::channel();
             state.waiting.insert(job, to);
             (job, state.life, done)
@@ -370,8 +512,7 @@
     async fn probed(&self) -> Response<Full<Bytes>> {
         let report = {
             let mut state = lock(&self.state);
-            let cut = self.links.between(self.conductor_zone, self.zone).cut;
-            let report = state.server.probe(self.trace.now()).filter(|_| !state.lot.silent && !cut);
+            let report = state.server.probe(self.trace.now()).filter(|_| !state.lot.silent);
             let (lie, stuck) = (state.lot.lie, state.lot.stuck);
             report.map(|load| match lie {
                 None => load,
@@ -407,7 +548,19 @@
             }
             let now = self.trace.now();
             let mut state = lock(&self.state);
+            while let Some(conn) = state.server.closed(now) {
+                if let Some(closing) = state.conns.remove(&conn) {
+                    closing.cancel();
+                }
+            }
             while let Some(done) = state.server.poll(now) {
+                if let Some(Running { request, class }) = state.running.remove(&done.job) {
+                    if done.good {
+                        self.trace.note(Event::Ran { server: self.address, request, class });
+                    } else {
+                        self.memories.with(class, self, |memory| memory.forget(request.0.0));
+                    }
+                }
                 if let Some(waiting) = state.waiting.remove(&done.job) {
                     let _ = waiting.send(done.good);
                 }
@@ -438,7 +591,27 @@
         let mut state = lock(&self.node.state);
         if state.life == self.life {
             state.waiting.remove(&self.job);
-            state.server.cancel(self.node.trace.now(), self.job);
+            let gone = state.server.cancel(self.node.trace.now(), self.job);
+            let running = if gone { state.running.remove(&self.job) } else { None };
+            if let Some(Running { request, class }) = running {
+                self.node.memories.with(class, self.node, |memory| memory.forget(request.0.0));
+            }
+        }
+    }
+}
+
+/// A connection that stands; dropped, the server knows that it has ended.
+struct Standing<'a> {
+    node: &'a Node,
+    conn: Conn,
+}
+
+impl Drop for Standing<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.node.state);
+        // Of an earlier life it is unknown by now, unless its number was given again.
+        if state.conns.remove(&self.conn).is_some() {
+            state.server.disconnect(self.node.trace.now(), self.conn);
         }
     }
 }
--- a/crates/stepspur-rehearsal/src/plan.rs
+++ b/crates/stepspur-rehearsal/src/plan.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use stepspur_conductor::Config;
 use stepspur_conductor::config::{EffectConfig, GroupConfig};
+use stepspur_model::work::{Form, Work};
 use stepspur_model::{proxy, server};
 
 /// A server.
@@ -18,8 +19,10 @@
     pub weight: f64,
     /// Its make.
     pub spec: server::Spec,
-    /// Connections that it accepts.
-    pub connections: usize,
+    /// Its cell's place within its zone (a rack, a partition): a scope of faults.
+    pub cell: usize,
+    /// Its kind's place.
+    pub kind: usize,
     /// True: it runs and is warm when the day begins.
     pub up: bool,
 }
@@ -42,7 +45,9 @@
     pub share: f64,
     /// Mean work, microseconds of a core of speed 1.
     pub work: f64,
-    /// Its coefficient of variation; the distribution is log-normal.
+    /// How it is spread about the mean.
+    pub form: Form,
+    /// Its coefficient of variation.
     pub cv: f64,
     /// An answer within this time earns the full worth.
     pub aim: Duration,
@@ -60,6 +65,13 @@
     pub window: Duration,
 }
 
+impl ClassPlan {
+    /// The distribution of its work.
+    pub fn distribution(&self) -> Work {
+        Work { form: self.form, mean: self.work, cv: self.cv }
+    }
+}
+
 /// What clients do.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/stepspur-rehearsal/src/proxy.rs
+++ b/crates/stepspur-rehearsal/src/proxy.rs
@@ -10,7 +10,6 @@
 use http_body_util::Empty;
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -28,9 +27,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::identity::DayKeys;
-use crate::links::Links;
 use crate::node::header;
 use crate::plan::Plan;
+use crate::relay::{self, Dial, source};
 use crate::trace::{Event, RequestId, Trace, lock};
 
 /// A request on its way.
@@ -85,16 +84,13 @@
     /// Its zone's place.
     pub zone: usize,
     zone_name: String,
+    source: std::net::Ipv4Addr,
     model: Mutex<Model>,
-    client: Client<HttpConnector, Empty<Bytes>>,
-    links: Arc<Links>,
-    /// Zones of servers.
-    zones: Arc<std::collections::BTreeMap<SocketAddr, usize>>,
+    client: Client<Dial, Empty<Bytes>>,
     trace: Arc<Trace>,
     lot: watch::Sender<Lot>,
     rng: Mutex<ChaCha8Rng>,
     redial: Duration,
-    conductor_zone: usize,
     lines_per_s: f64,
     message_head: f64,
     full_may_have_run: bool,
@@ -107,8 +103,6 @@
 
 /// A try that may be followed waits so many aims.
 const FIRST_WAIT: f64 = 1.2;
-/// No connection in this time is none.
-const DIAL: Duration = Duration::from_millis(300);
 /// A handshake or a first answer that takes longer is none.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Reports that may wait to be sent; more are dropped, the oldest first.
@@ -120,22 +114,18 @@
         plan: &Plan,
         index: usize,
         standing: Vec<SocketAddr>,
-        zones: Arc<std::collections::BTreeMap<SocketAddr, usize>>,
-        links: Arc<Links>,
         trace: Arc<Trace>,
         keys: Option<Arc<DayKeys>>,
     ) -> Result<Self, KeyFault> {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(DIAL));
-        connector.set_nodelay(true);
+        let zone = plan.proxies[index].zone;
+        let source = source(zone, index);
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(15))
             .pool_max_idle_per_host(16)
-            .build(connector);
+            .build(Dial(source));
         trace.note(Event::ProxyStarted { proxy: index, standing: standing.clone() });
         let seed = plan.seed ^ (index as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let spec = Spec { classes: plan.classes.len(), ..plan.proxy.clone() };
-        let zone = plan.proxies[index].zone;
         let identity = match keys {
             None => None,
             Some(keys) => {
@@ -147,16 +137,14 @@
             identity,
             index,
             zone,
+            source,
             zone_name: plan.zones[zone].0.clone(),
             model: Mutex::new(Model::new(spec, seed, standing, trace.now())),
             client,
-            links,
-            zones,
             trace,
             lot: watch::Sender::new(Lot::default()),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ 1)),
             redial: plan.redial,
-            conductor_zone: plan.conductor_zone,
             lines_per_s: plan.config.channel.lines_per_s,
             message_head: plan.config.channel.message_head,
             full_may_have_run: plan.rules.full_may_have_run,
@@ -164,6 +152,11 @@
         })
     }
 
+    /// Looks at its table and levels.
+    pub fn look<T>(&self, at: impl FnOnce(&Model) -> T) -> T {
+        at(&lock(&self.model))
+    }
+
     /// Changes what the day does to it.
     pub fn fate(&self, change: impl FnOnce(&mut Lot)) {
         let was = self.lot.borrow().stalled;
@@ -213,11 +206,6 @@
     }
 
     async fn attempt(&self, ask: Ask, server: SocketAddr, attempt: usize, until: Instant) -> Tried {
-        let link = self.links.between(self.zone, self.zones.get(&server).copied().unwrap_or(self.zone));
-        if link.cut || link.loss > 0.0 && lock(&self.rng).random_bool(link.loss.min(1.0)) {
-            sleep_until(until.min(Instant::now() + DIAL)).await;
-            return Tried::NeverRan;
-        }
         let id = format!("{}/{}/{attempt}", ask.id.0, ask.client_try);
         let mut request = Request::get(format!("http://{server}/request"))
             .header(header::REQUEST, id)
@@ -228,13 +216,7 @@
             request = request.header(header::KEY, key);
         }
         let Ok(request) = request.body(Empty::new()) else { return Tried::NeverRan };
-        let call = async {
-            tokio::time::sleep(link.delay).await;
-            let answer = self.client.request(request).await;
-            tokio::time::sleep(link.delay).await;
-            answer
-        };
-        match tokio::time::timeout_at(until, call).await {
+        match tokio::time::timeout_at(until, self.client.request(request)).await {
             Ok(Ok(answer)) if answer.status() == StatusCode::OK => Tried::Good,
             Ok(Ok(answer)) if answer.headers().contains_key(header::NEVER_RAN) && !self.full_may_have_run => {
                 Tried::NeverRan
@@ -244,23 +226,12 @@
         }
     }
 
-    /// Keeps a stream to the conductor, wherever it is, until stopped.
-    pub async fn run(
-        self: Arc<Self>,
-        mut conductor: watch::Receiver<Option<SocketAddr>>,
-        stop: CancellationToken,
-    ) {
+    /// Keeps a stream to the conductor, by the relay before it, until stopped.
+    pub async fn run(self: Arc<Self>, conductor: SocketAddr, stop: CancellationToken) {
         let keep = async {
             let mut wait = self.redial;
             loop {
-                let address = match conductor.wait_for(Option::is_some).await {
-                    Ok(address) => *address,
-                    Err(_) => return,
-                };
-                let reached = match address.filter(|_| self.reaches()) {
-                    Some(address) => self.stream(address).await,
-                    None => false,
-                };
+                let reached = self.reaches() && self.stream(conductor).await;
                 wait = if reached { self.redial } else { (wait * 2).min(self.redial * 8) };
                 let jitter = lock(&self.rng).random_range(0.5..1.5);
                 tokio::time::sleep(wait.mul_f64(jitter)).await;
@@ -273,13 +244,12 @@
     }
 
     fn reaches(&self) -> bool {
-        self.lot.borrow().cut_off == 0 && !self.links.between(self.zone, self.conductor_zone).cut
+        self.lot.borrow().cut_off == 0
     }
 
     /// One stream from its dialling to its end; true if it was welcomed.
     async fn stream(&self, address: SocketAddr) -> bool {
-        let Ok(Ok(socket)) = timeout(DIAL, TcpStream::connect(address)).await else { return false };
-        let _ = socket.set_nodelay(true);
+        let Ok(socket) = relay::dial(self.source, address).await else { return false };
         let socket = match &self.identity {
             None => Either::Left(socket),
             Some((_, connector)) => {
@@ -329,8 +299,6 @@
         let mut report_at = Instant::now() + every.mul_f64(lock(&self.rng).random_range(0.0..1.0));
         let mut late: VecDeque<(Instant, v1::Report)> = VecDeque::new();
         let mut lot = self.lot.subscribe();
-        // A cut of the conductor's link is looked for so often.
-        let mut look = tokio::time::interval(Duration::from_millis(100));
         loop {
             let Lot { stalled, slow, late: later, .. } = *lot.borrow_and_update();
             let send_at = late.front().map_or(report_at + every * 1000, |(at, _)| *at);
@@ -358,8 +326,7 @@
                         return;
                     }
                 }
-                _ = lot.changed() => {}
-                _ = look.tick() => if !self.reaches() {
+                _ = lot.changed() => if !self.reaches() {
                     return;
                 },
             }
--- a/crates/stepspur-rehearsal/src/replay.rs
+++ b/crates/stepspur-rehearsal/src/replay.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use stepspur_conductor::config::{AdmitConfig, ClassConfig, EffectConfig, Fleet, GroupConfig};
+use stepspur_model::work::Form;
 use stepspur_model::{proxy, server};
 use stepspur_proto::v1;
 
@@ -357,19 +358,21 @@
                 _ => server::Cancel::Queued,
             },
             error_rate: kind.error_rate,
+            connections: ((tier.conn_cap_per_core * f64::from(kind.cores)) as usize).max(1),
             handshake_work: tier.handshake_work,
             probe_work: tier.probe_work,
             report_every: tier.report_period as u64,
             key_span: (self.day.fam.affinity_s * 1e6) as u64,
             key_gain: self.day.fam.affinity_gain,
             keys: 1000,
+            ..server::Spec::default()
         };
-        let connections = (tier.conn_cap_per_core * f64::from(kind.cores)) as usize;
         ServerPlan {
             zone: server.zone,
             weight: server.weight,
             spec,
-            connections: connections.max(1),
+            cell: 0,
+            kind: server.kind,
             up: server.up,
         }
     }
@@ -566,6 +569,7 @@
         name: class.name.clone(),
         share: class.share,
         work: class.work,
+        form: Form::LogNormal,
         cv: class.cv,
         aim: span(class.aim),
         deadline: span(class.deadline),
--- a/crates/stepspur-rehearsal/src/run.rs
+++ b/crates/stepspur-rehearsal/src/run.rs
@@ -1,6 +1,5 @@
 //! Playing a plan: stand-ins on loopback, a conductor, troubles at their times, and the verdict.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,10 +24,11 @@
 use crate::judge::{Break, Figures, Rule, judge};
 use crate::launch::{LaunchError, Launcher, Running};
 use crate::links::Links;
-use crate::node::Node;
+use crate::node::{Memories, Node};
 use crate::plan::{Plan, Step, Strike, Trouble};
 use crate::proxy::Proxy;
 use crate::registry::Registry;
+use crate::relay;
 use crate::trace::{Event, Trace, lock};
 
 /// Why a day could not be played.
@@ -208,10 +208,10 @@
             (Arc::new(Trace::default()), Arc::new(Links::default()), TaskTracker::new());
         let registry = Registry::new(Arc::clone(&trace));
         let mut nodes = Vec::new();
-        for (k, server) in plan.servers.iter().enumerate() {
-            let seed = plan.seed ^ (k as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let memories = Arc::new(Memories::new(&plan));
+        for k in 0..plan.servers.len() {
             let (node, socket) =
-                Node::new(server, seed, Arc::clone(&links), plan.conductor_zone, Arc::clone(&trace))?;
+                Node::new(&plan, k, Arc::clone(&links), Arc::clone(&memories), Arc::clone(&trace))?;
             tasks.spawn(Arc::clone(&node).run(socket, stop.clone()));
             nodes.push(node);
         }
@@ -236,20 +236,22 @@
         if let Some(fault) = config.faults().first() {
             return Err(RunError::Config(format!("{}: {}", fault.key, fault.what)));
         }
-        let zones: Arc<BTreeMap<_, _>> = Arc::new(nodes.iter().map(|n| (n.address, n.zone)).collect());
         let mut rng = ChaCha8Rng::seed_from_u64(plan.seed ^ 0x57a4d);
         let proxies: Vec<_> = (0..plan.proxies.len())
             .map(|k| {
                 let standing = standing(&plan, &nodes, plan.proxies[k].zone, &mut rng);
                 let keys = keys.clone();
-                let (zones, links, trace) = (Arc::clone(&zones), Arc::clone(&links), Arc::clone(&trace));
-                Ok(Arc::new(Proxy::new(&plan, k, standing, zones, links, trace, keys)?))
+                Ok(Arc::new(Proxy::new(&plan, k, standing, Arc::clone(&trace), keys)?))
             })
             .collect::<Result<_, KeyFault>>()?;
         let crowd = Crowd::new(Arc::clone(&plan), proxies.clone());
         let (address, conductor) = (watch::Sender::new(None), Mutex::new(None));
+        let front = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let front_address = front.local_addr()?;
+        let (zone, conductors) = (plan.conductor_zone, address.subscribe());
+        tasks.spawn(relay::before_conductor(front, conductors, zone, Arc::clone(&links), stop.clone()));
         for proxy in &proxies {
-            tasks.spawn(Arc::clone(proxy).run(address.subscribe(), stop.clone()));
+            tasks.spawn(Arc::clone(proxy).run(front_address, stop.clone()));
         }
         let world = Self {
             plan,
@@ -361,6 +363,7 @@
             ends.spawn(async move {
                 sleep_until(from + step.at).await;
                 for server in &step.stop {
+                    world.nodes[*server].drain();
                     world.list(*server, NodeState::Draining, 0, 1);
                 }
                 step.start.iter().for_each(|server| world.start_server(*server));
--- a/crates/stepspur-rehearsal/src/scenario.rs
+++ b/crates/stepspur-rehearsal/src/scenario.rs
@@ -437,8 +437,9 @@
         spec.speed *= rng.random_range(0.9..1.1);
         spec.fall_multiple = self.rules.fall_multiple;
         spec.fall_span = self.rules.fall_span.as_micros() as u64;
-        let (zone, connections) = (place % self.zones.len(), kind.connections);
-        ServerPlan { zone, weight: kind.weight, spec, connections, up }
+        spec.connections = kind.connections;
+        let zone = place % self.zones.len();
+        ServerPlan { zone, weight: kind.weight, spec, cell: 0, kind: 0, up }
     }
 
     fn zone(&self, name: &Option<String>) -> Option<usize> {
@@ -635,6 +636,7 @@
         name: class.name.clone(),
         share: class.share,
         work: class.work.as_micros() as f64,
+        form: Default::default(),
         cv: class.cv,
         aim: class.aim,
         deadline: class.deadline,
--- a/crates/stepspur-rehearsal/src/trace.rs
+++ b/crates/stepspur-rehearsal/src/trace.rs
@@ -24,6 +24,8 @@
     Failed,
     /// The server had fallen over.
     Fallen,
+    /// Answered from the memory of its group, without an effect: a repeat.
+    Known,
 }
 
 /// A request as it came to a server.
@@ -61,11 +63,14 @@
     /// The conductor was killed, or told to start again.
     Conductor { up: bool },
     /// A server started cold: its work a second when warm, in seconds.
-    ServerStarted { server: SocketAddr, capacity: f64, cold_from: f64, cold: Micros },
+    /// `cold` is none where requests warm it up: then only its falling over tells.
+    ServerStarted { server: SocketAddr, capacity: f64, cold_from: f64, cold: Option<Micros> },
     /// A server fell over.
     Fell { server: SocketAddr },
     /// A request came to a server.
     Arrived(Arrival),
+    /// A server has done a request's work: its effect has taken place, whether or not anybody still waits.
+    Ran { server: SocketAddr, request: (RequestId, u32, u32), class: usize },
 }
 
 /// All that crossed, so far.
--- a/crates/stepspur-rehearsal/tests/judge.rs
+++ b/crates/stepspur-rehearsal/tests/judge.rs
@@ -160,8 +160,12 @@
 fn rule_4_work_for_a_cold_server_stays_under_its_budget() {
     // It does 1 s of work a second when warm, 0.5 at its start: 3 x 3 s x 0.5 is 4.5 s of work.
     let start = |work: f64, joined: bool| {
-        let cold =
-            Event::ServerStarted { server: server(1), capacity: 1.0, cold_from: 0.5, cold: 1_000_000_000 };
+        let cold = Event::ServerStarted {
+            server: server(1),
+            capacity: 1.0,
+            cold_from: 0.5,
+            cold: Some(1_000_000_000),
+        };
         let mut events =
             vec![(100, cold), (101, told(false, &[node(1, NodeState::Ready, BEGIN + 100 * MS)]))];
         if !joined {
