--- a/crates/stepspur-model/src/lib.rs
+++ b/crates/stepspur-model/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod memory;
 pub mod proxy;
+pub mod serve;
 pub mod server;
 pub mod work;
 
--- a/crates/stepspur-model/src/server.rs
+++ b/crates/stepspur-model/src/server.rs
@@ -413,6 +413,11 @@
         self.conns.get(&conn).is_some_and(|open| open.new)
     }
 
+    /// True: the connection stands.
+    pub fn is_open(&self, conn: Conn) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
     /// Connections that stand.
     pub fn connections(&self) -> usize {
         self.conns.len()
--- a/crates/stepspur-rehearsal/src/clients.rs
+++ b/crates/stepspur-rehearsal/src/clients.rs
@@ -7,29 +7,16 @@
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_distr::{Distribution, Exp, Zipf};
 use serde::Serialize;
-use stepspur_conductor::config::EffectConfig;
+use stepspur_model::serve::{Answer, client_repeats};
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::plan::{ClassPlan, Clients, Plan};
-use crate::proxy::{Answer, Ask, Proxy};
+use crate::plan::{ClassPlan, Plan};
+use crate::proxy::{Ask, Proxy};
 use crate::trace::{RequestId, lock};
-
-/// What the day does to the traffic.
-#[derive(Clone, Debug, Default)]
-pub struct Weather {
-    /// Factors of the rate.
-    pub bursts: Vec<f64>,
-    /// Parts of all traffic that come to one zone.
-    pub shifts: Vec<(usize, f64)>,
-    /// Parts of all requests that turn into one class.
-    pub mixes: Vec<(usize, f64)>,
-    /// Parts of classes whose work is so many times more.
-    pub tails: Vec<(usize, f64, f64)>,
-}
+use crate::traffic::{Drawn, Traffic, Weather};
 
 /// What became of the requests of a class.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -106,7 +93,8 @@
 }
 
 impl Outcomes {
-    fn new(plan: &Plan) -> Self {
+    /// Nothing yet.
+    pub fn new(plan: &Plan) -> Self {
         let phase = |(_, span): &(String, Range<Duration>)| (span.clone(), Part::new(plan));
         Self {
             whole: Part::new(plan),
@@ -142,7 +130,8 @@
         if self.worth.1 > 0.0 { self.worth.0 / self.worth.1 } else { 1.0 }
     }
 
-    fn note(
+    /// A request that was asked so long after the day's begin has its last answer.
+    pub fn note(
         &mut self,
         plan: &ClassPlan,
         class: usize,
@@ -211,12 +200,11 @@
     /// Sends requests for the plan's time, and waits for the last of them; false if too many were under way.
     pub async fn run(self: Arc<Self>, begin: Instant, stop: CancellationToken) -> bool {
         let end = begin + self.plan.length;
-        let mut rng = ChaCha8Rng::seed_from_u64(self.plan.seed ^ 0xc11e);
+        let mut traffic = Traffic::new(Arc::clone(&self.plan));
         let (mut at, mut next, mut fits) = (begin, 0u64, true);
         loop {
-            let rate = self.rate(at.duration_since(begin).as_secs_f64());
-            let gap = Exp::new(rate.max(1e-3)).map_or(1.0, |gap| gap.sample(&mut rng));
-            at += Duration::from_secs_f64(gap.min(10.0));
+            let gap = traffic.gap(&lock(&self.weather), at.duration_since(begin).as_secs_f64());
+            at += Duration::from_secs_f64(gap);
             if at >= end {
                 break;
             }
@@ -229,9 +217,12 @@
                 break;
             }
             next += 1;
-            let Some((proxy, ask)) = self.draw(&mut rng, RequestId(next)) else { continue };
-            let (crowd, seed) = (Arc::clone(&self), rng.random());
-            self.tasks.spawn(async move { crowd.request(proxy, ask, begin, seed).await });
+            let Some(drawn) = traffic.draw(&lock(&self.weather)) else { continue };
+            let Drawn { class, key, work, .. } = drawn;
+            let (id, aim, until) = (RequestId(next), self.plan.classes[class].aim, Instant::now());
+            let ask = Ask { id, client_try: 0, class, key, work, aim, until };
+            let (crowd, proxy) = (Arc::clone(&self), Arc::clone(&self.proxies[drawn.proxy]));
+            self.tasks.spawn(async move { crowd.request(proxy, ask, begin, drawn.seed).await });
         }
         *lock(&self.behind) = Instant::now().saturating_duration_since(at.min(end));
         self.tasks.close();
@@ -244,39 +235,6 @@
         *lock(&self.behind)
     }
 
-    fn rate(&self, at: f64) -> f64 {
-        let shape = &self.plan.shape;
-        let factor = shape.iter().rev().find(|(from, _)| *from <= at).map_or(1.0, |(_, factor)| *factor);
-        self.plan.rate * factor * lock(&self.weather).bursts.iter().product::<f64>()
-    }
-
-    fn draw(&self, rng: &mut ChaCha8Rng, id: RequestId) -> Option<(Arc<Proxy>, Ask)> {
-        let plan = &self.plan;
-        let weather = lock(&self.weather).clone();
-        let class = weighted(rng, plan.classes.iter().map(|c| c.share))?;
-        let mixed = weather.mixes.iter().find(|(_, part)| rng.random_bool(part.clamp(0.0, 1.0)));
-        let class = mixed.map_or(class, |(mixed, _)| *mixed);
-        let shifted = weather.shifts.iter().find(|(_, part)| rng.random_bool(part.clamp(0.0, 1.0)));
-        let zone = match shifted {
-            Some((zone, _)) => *zone,
-            None => weighted(rng, plan.zones.iter().map(|z| z.1))?,
-        };
-        let part = |p: &Arc<Proxy>| if p.zone == zone { plan.proxies[p.index].weight } else { 0.0 };
-        let proxy = weighted(rng, self.proxies.iter().map(part))?;
-        let class_plan = &plan.classes[class];
-        let mut work = class_plan.distribution().sample(rng);
-        for (tail, part, times) in weather.tails {
-            if tail == class && rng.random_bool(part.clamp(0.0, 1.0)) {
-                work *= times;
-            }
-        }
-        let Clients { keys, key_zipf, .. } = plan.clients;
-        let key = Zipf::new(keys as f64, key_zipf).ok().filter(|_| keys > 0).map(|d| d.sample(rng) as u64);
-        let until = Instant::now();
-        let aim = class_plan.aim;
-        Some((Arc::clone(&self.proxies[proxy]), Ask { id, client_try: 0, class, key, work, aim, until }))
-    }
-
     async fn request(&self, proxy: Arc<Proxy>, ask: Ask, day: Instant, seed: u64) {
         let class = &self.plan.classes[ask.class];
         let clients = &self.plan.clients;
@@ -291,14 +249,7 @@
             let until = (Instant::now() + class.deadline.mul_f64(clients.try_share)).min(end);
             answer = proxy.serve(Ask { client_try, until, ..ask }).await;
             client_try += 1;
-            // What may not run twice is repeated only after a refusal.
-            let again = match (answer, class.effect) {
-                (Answer::Good, _) => false,
-                (Answer::Failed, EffectConfig::NonIdempotent) => false,
-                (Answer::Failed, EffectConfig::IdempotencyKey) => begun.elapsed() < class.window,
-                _ => true,
-            };
-            if !again {
+            if !client_repeats(answer, class.repeat(), begun.elapsed().as_micros() as u64) {
                 break;
             }
         }
@@ -313,21 +264,3 @@
         );
     }
 }
-
-/// A place, drawn by weight.
-fn weighted(rng: &mut ChaCha8Rng, weights: impl Iterator<Item = f64> + Clone) -> Option<usize> {
-    let all: f64 = weights.clone().sum();
-    if all <= 0.0 {
-        return None;
-    }
-    let mut at = rng.random::<f64>() * all;
-    let mut last = None;
-    for (place, weight) in weights.enumerate().filter(|(_, w)| *w > 0.0) {
-        at -= weight;
-        last = Some(place);
-        if at < 0.0 {
-            break;
-        }
-    }
-    last
-}
--- a/crates/stepspur-rehearsal/src/lib.rs
+++ b/crates/stepspur-rehearsal/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod scenario;
 pub mod series;
 pub mod trace;
+pub mod traffic;
 pub mod usage;
 
 pub use launch::{Announcement, Launcher};
--- a/crates/stepspur-rehearsal/src/plan.rs
+++ b/crates/stepspur-rehearsal/src/plan.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use stepspur_conductor::Config;
 use stepspur_conductor::config::{EffectConfig, GroupConfig};
+use stepspur_model::serve::Repeat;
 use stepspur_model::work::{Form, Work};
 use stepspur_model::{proxy, server};
 
@@ -70,6 +71,15 @@
 }
 
 impl ClassPlan {
+    /// What a client's repeat may do.
+    pub fn repeat(&self) -> Repeat {
+        match self.effect {
+            EffectConfig::ReadLike => Repeat::Harmless,
+            EffectConfig::IdempotencyKey => Repeat::Within(self.window.as_micros() as u64),
+            EffectConfig::NonIdempotent => Repeat::Harmful,
+        }
+    }
+
     /// The distribution of its work.
     pub fn distribution(&self) -> Work {
         Work { form: self.form, mean: self.work, cv: self.cv }
--- a/crates/stepspur-rehearsal/src/proxy.rs
+++ b/crates/stepspur-rehearsal/src/proxy.rs
@@ -15,6 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use stepspur_identity::keys::KeyFault;
 use stepspur_model::proxy::{Proxy as Model, Spec, Tried};
+use stepspur_model::serve::{Answer, Next, Serving};
 use stepspur_proto::{Frames, FromConductor, FromProxy, VERSION, from_conductor, from_proxy, v1};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -51,19 +52,6 @@
     pub until: Instant,
 }
 
-/// What a client is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// Answered well.
-    Good,
-    /// Refused early, by level or for want of a server.
-    Refused,
-    /// Failed, and it may have run.
-    Failed,
-    /// Failed, and it never ran.
-    NeverRan,
-}
-
 /// What the day does to a proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Lot {
@@ -101,8 +89,6 @@
 
 type Stream = Framed<Either<TcpStream, TlsStream<TcpStream>>, Frames<FromConductor, FromProxy>>;
 
-/// A try that may be followed waits so many aims.
-const FIRST_WAIT: f64 = 1.2;
 /// A handshake or a first answer that takes longer is none.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Reports that may wait to be sent; more are dropped, the oldest first.
@@ -169,38 +155,18 @@
 
     /// Serves a client's try: one server after the other, as ordered.
     pub async fn serve(&self, ask: Ask) -> Answer {
-        if !lock(&self.model).admit(self.trace.now(), ask.class) {
-            return Answer::Refused;
-        }
-        let mut tried = Vec::new();
-        let mut may_have_run = false;
+        let until = self.trace.at(ask.until);
+        let aim = ask.aim.as_micros() as u64;
+        let (mut serving, mut next) =
+            Serving::begin(&mut lock(&self.model), self.trace.now(), ask.class, aim, until);
         loop {
-            let (picked, followed) = {
-                let mut model = lock(&self.model);
-                let picked = model.pick(self.trace.now(), &tried);
-                (picked, model.may_be_followed(ask.class, tried.len() as u32 + 1))
-            };
-            let Some(server) = picked else {
-                return if may_have_run { Answer::Failed } else { Answer::Refused };
-            };
-            let patience = if followed { ask.aim.mul_f64(FIRST_WAIT) } else { Duration::MAX };
-            let until = Instant::now().checked_add(patience).map_or(ask.until, |at| at.min(ask.until));
-            let begun = Instant::now();
-            let end = self.attempt(ask, server, tried.len(), until).await;
-            let took = begun.elapsed().as_micros() as u64;
-            tried.push(server);
-            may_have_run |= end == Tried::MayHaveRun;
-            let again = {
-                let mut model = lock(&self.model);
-                model.note(self.trace.now(), server, end, took, Vec::new());
-                model.may_try_again(ask.class, tried.len() as u32, end)
-            };
-            if end == Tried::Good {
-                return Answer::Good;
-            }
-            if !again || Instant::now() >= ask.until {
-                lock(&self.model).unanswered(ask.class);
-                return if may_have_run { Answer::Failed } else { Answer::NeverRan };
+            match next {
+                Next::Tell(answer) => return answer,
+                Next::Send { server, until } => {
+                    let until = self.trace.instant(until);
+                    let end = self.attempt(ask, server, serving.attempts() - 1, until).await;
+                    next = serving.ended(&mut lock(&self.model), self.trace.now(), end);
+                }
             }
         }
     }
--- a/crates/stepspur-rehearsal/src/trace.rs
+++ b/crates/stepspur-rehearsal/src/trace.rs
@@ -94,6 +94,11 @@
         self.base + self.from.elapsed().as_micros() as Micros
     }
 
+    /// The time of the machine's instant.
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.base + instant.saturating_duration_since(self.from).as_micros() as Micros
+    }
+
     /// The machine's instant at that time.
     pub fn instant(&self, at: Micros) -> Instant {
         self.from + Duration::from_micros(at.saturating_sub(self.base))
--- a/crates/stepspur-rehearsal/tests/emulator.rs
+++ b/crates/stepspur-rehearsal/tests/emulator.rs
@@ -89,8 +89,11 @@
     let text = include_str!("../../../rehearsals/zone-restart.toml");
     let day = |guarded: bool| {
         let mut scenario = Scenario::parse("zone restart", text).unwrap();
-        scenario.length = Duration::from_secs(9);
+        scenario.length = Duration::from_secs(12);
         scenario.faults[0].at = Duration::from_secs(2);
+        // Well on either side of the edge, so that no machine's timing decides.
+        scenario.rate = 220.0;
+        scenario.kinds.iter_mut().for_each(|kind| kind.server.cold_from = 0.02);
         scenario.phases.clear();
         scenario.expectations.clear();
         let mut plan = scenario.plan("zone restart").unwrap();
--- a/crates/stepspur-rehearsal/tests/judge.rs
+++ b/crates/stepspur-rehearsal/tests/judge.rs
@@ -126,6 +126,28 @@
     }
 }
 
+/// What took place counts by itself: even where group and window cover a repeat, two effects of one try are two.
+#[test]
+fn rule_2_two_effects_of_one_try_are_found_whatever_covers_them() {
+    let keyed = |p: &mut Plan| {
+        let class = &mut p.classes[1];
+        (class.effect, class.group) = (EffectConfig::IdempotencyKey, GroupConfig::All);
+        class.window = std::time::Duration::from_secs(10);
+    };
+    let ran = |k: u8, client_try, attempt, class| Event::Ran {
+        server: server(k),
+        request: (RequestId(7), client_try, attempt),
+        class,
+    };
+    assert_eq!(broken(keyed, vec![(100, ran(1, 0, 0, 1)), (200, ran(2, 0, 1, 1))]), [Rule::Once]);
+    assert_eq!(broken(keyed, vec![(100, ran(1, 0, 0, 1)), (200, ran(2, 1, 0, 1))]), [], "the client's own");
+    assert_eq!(
+        broken(keyed, vec![(100, ran(1, 0, 0, 0)), (200, ran(2, 0, 1, 0))]),
+        [],
+        "reads may run again"
+    );
+}
+
 #[test]
 fn rule_3_drains_are_honoured_within_the_grace() {
     let after = |state, at| {
--- a/crates/stepspur-report/src/lib.rs
+++ b/crates/stepspur-report/src/lib.rs
@@ -101,6 +101,17 @@
     pub bands: Vec<Band>,
 }
 
+/// Lines in turn: the first four are those of outcomes, from good to bad.
+const COLORS: [RGBColor; 8] = [
+    RGBColor(46, 125, 50),
+    RGBColor(240, 162, 2),
+    RGBColor(120, 120, 130),
+    RGBColor(192, 57, 43),
+    RGBColor(42, 122, 185),
+    RGBColor(142, 68, 173),
+    RGBColor(22, 160, 133),
+    RGBColor(93, 64, 55),
+];
 const SIZE: (u32, u32) = (960, 300);
 const BAND_ROW: f64 = 0.07;
 
@@ -241,7 +252,7 @@
             Shape::Lines => named,
         };
         for (k, (points, line)) in order {
-            let color = Palette99::pick(k).to_rgba();
+            let color = COLORS[k % COLORS.len()].to_rgba();
             let drawn = match self.shape {
                 Shape::Stacked => {
                     chart.draw_series(AreaSeries::new(points.iter().copied(), 0.0, color.mix(0.9)))?
