Experiments in virtual time: paired arms, intervals, results that outlive an interruption

Whether a setting helps could only be answered by single runs.

The cause of a rule broken in one run and not in the next was found: frames were taken for the same by the address of their bytes, which can be given again; the bytes are kept now.

--- /dev/null
+++ b/crates/stepspur-cli/src/fleet.rs
@@ -0,0 +1,217 @@
+//! `stepspur model` and `stepspur experiment`: the fleet in virtual time.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anyhow::Context;
+use indicatif::{ProgressBar, ProgressStyle};
+use stepspur_fleet::experiment::{ArmResult, Estimate, ExperimentError, Lab};
+use stepspur_fleet::{Options, run};
+use stepspur_rehearsal::plan::Plan;
+use stepspur_rehearsal::replay;
+use stepspur_rehearsal::scenario::Scenario;
+use stepspur_report::{Chart, Line, Page, Table};
+
+use crate::End;
+
+/// What is played.
+#[derive(Debug, clap::Args)]
+pub struct ModelArgs {
+    /// A scenario (TOML) or a bench day (JSON).
+    file: PathBuf,
+    /// The seed, in place of the file's.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Conductors; proxies are dealt to them in turn.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=100))]
+    conductors: u32,
+    /// Of a bench day: servers, proxies and traffic as a part of the day's.
+    #[arg(long, default_value_t = 1.0)]
+    scale: f64,
+    /// Print as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Plays a file in virtual time.
+pub fn model(args: &ModelArgs) -> anyhow::Result<End> {
+    let name = args.file.display().to_string();
+    let plan: Result<Plan, String> = if args.file.extension().is_some_and(|e| e == "json") {
+        let text = std::fs::read_to_string(&args.file).with_context(|| name.clone())?;
+        replay::read(&text, Some(args.scale)).map_err(|e| format!("{name}: {e}")).map(|replayed| {
+            replayed.left_out.iter().for_each(|left| eprintln!("not mapped: {left}"));
+            replayed.plan
+        })
+    } else {
+        Scenario::read(&args.file).and_then(|s| s.plan(&name)).map_err(|e| e.to_string())
+    };
+    let mut plan = match plan {
+        Ok(plan) => plan,
+        Err(error) => {
+            eprintln!("stepspur: {error}");
+            return Ok(End::WrongUse);
+        }
+    };
+    plan.seed = args.seed.unwrap_or(plan.seed);
+    let options = Options { conductors: args.conductors as usize, ..Options::default() };
+    let outcome = run(&plan, &options);
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&outcome)?);
+    } else {
+        let (servers, proxies) = (plan.servers.len(), plan.proxies.len());
+        println!("{}: {servers} servers, {proxies} proxies, all modelled", plan.name);
+        for t in &outcome.classes {
+            println!(
+                "{:12} asked {:>7}  in time {:>7}  late {:>6}  refused {:>6}  failed {:>6}  p99 {:>6.0} ms",
+                t.class, t.asked, t.in_time, t.late, t.refused, t.failed, t.answer_ms[1]
+            );
+        }
+        println!(
+            "service {:.4}; {} orders; {} servers fell over",
+            outcome.service, outcome.orders, outcome.fallen
+        );
+        for broken in &outcome.breaks {
+            println!("BROKEN  {} ({} times): {}", broken.rule.words(), broken.times, broken.what);
+        }
+        let [all, engine] = outcome.took_s;
+        let ratio = plan.length.as_secs_f64() / all.max(1e-9);
+        println!("{ratio:.0} times the clock; {:.0}% of it in the engine", 100.0 * engine / all.max(1e-9));
+    }
+    Ok(if outcome.breaks.is_empty() { End::Well } else { End::RuleBroken })
+}
+
+/// What is tried.
+#[derive(Debug, clap::Args)]
+pub struct ExperimentArgs {
+    /// The experiment's file (TOML).
+    file: PathBuf,
+    /// Where results are kept; beside the file if not told. Finished runs are not played again.
+    #[arg(long)]
+    results: Option<PathBuf>,
+    /// Runs at the same time; as many as there are cores if not told.
+    #[arg(long)]
+    threads: Option<usize>,
+    /// Write a report here: one HTML file with plots.
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+    /// Print as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Plays an experiment to its end.
+pub fn experiment(args: &ExperimentArgs) -> anyhow::Result<End> {
+    let results = args.results.clone().unwrap_or_else(|| args.file.with_extension("results.jsonl"));
+    let lab = match Lab::open(&args.file, &results) {
+        Ok(lab) => lab,
+        Err(error @ ExperimentError::Io { .. }) => return Err(error.into()),
+        Err(error) => {
+            eprintln!("stepspur: {error}");
+            return Ok(End::WrongUse);
+        }
+    };
+    let threads = args.threads.or(std::thread::available_parallelism().ok().map(|n| n.get())).unwrap_or(1);
+    let (arms, most) = (lab.experiment().arms.len() as u64, lab.experiment().most);
+    let bar = ProgressBar::new(arms * most).with_position(lab.finished() as u64);
+    bar.set_style(
+        ProgressStyle::with_template("{bar:30} {pos}/{len} runs at most, {eta} left  {msg}")
+            .unwrap_or_else(|_| ProgressStyle::default_bar()),
+    );
+    bar.enable_steady_tick(Duration::from_millis(500));
+    let found = lab.play(threads, &|finished| {
+        bar.inc(1);
+        bar.set_message(format!("{} seed {}", finished.arm, finished.seed));
+    })?;
+    bar.finish_and_clear();
+    if let Some(path) = &args.report {
+        write_report(path, &lab, &found)?;
+    }
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&found)?);
+    } else {
+        print(&lab, &found);
+    }
+    Ok(if found.iter().any(|arm| !arm.crashed.is_empty()) { End::Failed } else { End::Well })
+}
+
+fn shown(estimate: Option<Estimate>) -> String {
+    match estimate {
+        None => "-".into(),
+        Some(Estimate { mean, t_half, bootstrap: [low, high] }) => {
+            format!("{mean:+.4} +- {t_half:.4} [{low:+.4}, {high:+.4}]")
+        }
+    }
+}
+
+const HEADS: [&str; 10] = [
+    "arm",
+    "runs",
+    "service",
+    "difference (t; bootstrap)",
+    "lost",
+    "p99 ms",
+    "orders",
+    "rules broken in",
+    "fallen",
+    "crashed",
+];
+
+fn row(arm: &ArmResult) -> [String; 10] {
+    [
+        arm.name.clone(),
+        arm.runs.to_string(),
+        arm.service.map_or("-".into(), |s| format!("{:.4} +- {:.4}", s.mean, s.t_half)),
+        shown(arm.difference),
+        format!("{:.4}", arm.lost),
+        format!("{:.0}", arm.p99_ms),
+        format!("{:.0}", arm.orders),
+        arm.broken.to_string(),
+        arm.fallen.to_string(),
+        if arm.crashed.is_empty() { "-".into() } else { format!("{:?}", arm.crashed) },
+    ]
+}
+
+fn print(lab: &Lab, found: &[ArmResult]) {
+    println!("{} (modelled servers; 95% intervals)", lab.experiment().name);
+    let rows: Vec<[String; 10]> =
+        std::iter::once(HEADS.map(String::from)).chain(found.iter().map(row)).collect();
+    let wide = |k: usize| rows.iter().map(|r| r[k].chars().count()).max().unwrap_or(0);
+    for row in &rows {
+        let cells: Vec<String> =
+            row.iter().enumerate().map(|(k, cell)| format!("{cell:w$}", w = wide(k))).collect();
+        println!("{}", cells.join("  ").trim_end());
+    }
+}
+
+fn write_report(path: &Path, lab: &Lab, found: &[ArmResult]) -> anyhow::Result<()> {
+    let experiment = lab.experiment();
+    let point = |(k, arm): (usize, &ArmResult)| {
+        let Estimate { mean, t_half, .. } = arm.service?;
+        Some(Line {
+            name: format!("{}: {}", k + 1, arm.name),
+            points: vec![(k as f64 + 0.9, mean), (k as f64 + 1.1, mean)],
+            intervals: vec![(mean - t_half, mean + t_half); 2],
+        })
+    };
+    let page = Page {
+        title: experiment.name.clone(),
+        about: vec![
+            experiment.about.clone(),
+            format!("Scenario {}; modelled servers; 95% intervals.", experiment.scenario.display()),
+        ],
+        tables: vec![Table {
+            title: "Arms".into(),
+            heads: HEADS.map(String::from).to_vec(),
+            rows: found.iter().map(|arm| row(arm).to_vec()).collect(),
+        }],
+        charts: vec![Chart {
+            title: "Service by arm, with its interval".into(),
+            x: "arm".into(),
+            y: "service".into(),
+            lines: found.iter().enumerate().filter_map(point).collect(),
+            ..Chart::default()
+        }],
+        bands: Vec::new(),
+    };
+    std::fs::write(path, page.html()?).with_context(|| path.display().to_string())
+}
--- a/crates/stepspur-cli/src/main.rs
+++ b/crates/stepspur-cli/src/main.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod bench;
+mod fleet;
 mod keys;
 mod model_bench;
 mod play;
@@ -85,6 +86,10 @@
         #[command(flatten)]
         play: PlayArgs,
     },
+    /// Play a scenario or a bench day in virtual time: the real engine, modelled servers, no sockets.
+    Model(fleet::ModelArgs),
+    /// Compare settings in virtual time on the same seeds, with intervals; goes on where it was interrupted.
+    Experiment(fleet::ExperimentArgs),
     /// Keys and certificates, for teams with no authority of their own.
     #[command(subcommand)]
     Keys(keys::KeysCommand),
@@ -195,6 +200,8 @@
             play::rehearse(scenario, seed, check, runs, &play).await
         }
         Command::Replay { day, scale, play } => play::replay(&day, scale, &play).await,
+        Command::Model(args) => fleet::model(&args),
+        Command::Experiment(args) => fleet::experiment(&args),
         Command::Keys(command) => keys::keys(command),
         Command::Token(command) => keys::token(command),
         Command::Bench(args) => bench::bench(args).await,
--- a/crates/stepspur-fleet/src/lib.rs
+++ b/crates/stepspur-fleet/src/lib.rs
@@ -7,6 +7,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod baseline;
+pub mod experiment;
 pub mod queue;
 pub mod world;
 
--- a/crates/stepspur-fleet/src/world.rs
+++ b/crates/stepspur-fleet/src/world.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,6 +28,7 @@
 use stepspur_rehearsal::trace::{Arrival, Came, Event, RequestId};
 use stepspur_rehearsal::traffic::{Drawn, Traffic, Weather};
 
+use crate::baseline::Baseline;
 use crate::queue::Queue;
 
 /// How a plan is played, beside what it says itself.
@@ -38,13 +40,15 @@
     pub near: Micros,
     /// One way between zones, microseconds.
     pub far: Micros,
+    /// In place of conductors: tables made from the list alone.
+    pub baseline: Option<Baseline>,
     /// True: events are kept and the five rules judged. Costs memory for each request.
     pub judged: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { conductors: 1, near: 100, far: 400, judged: true }
+        Self { conductors: 1, near: 100, far: 400, baseline: None, judged: true }
     }
 }
 
@@ -55,6 +59,8 @@
     pub classes: Vec<Tally>,
     /// Worth answered over worth asked for, of modelled servers.
     pub service: f64,
+    /// Mean time of answers, milliseconds, over all classes.
+    pub mean_ms: f64,
     /// Rules that were broken; empty if none was, or none was judged.
     pub breaks: Vec<Break>,
     /// Servers that fell over.
@@ -233,7 +239,7 @@
     orders: u64,
     engine_time: Duration,
     /// The frame decoded last: a change for many proxies is decoded once.
-    decoded: Option<(usize, usize, Arc<FromConductor>)>,
+    decoded: Option<(Bytes, Arc<FromConductor>)>,
 }
 
 /// Plays a plan.
@@ -278,7 +284,8 @@
             let from = if near[proxy.zone].len() >= 3 { &near[proxy.zone] } else { &all };
             let standing: Vec<_> = from.sample(&mut rng, plan.standing).copied().collect();
             events.push((BASE, Event::ProxyStarted { proxy: k, standing: standing.clone() }));
-            let spec = Spec { classes: plan.classes.len(), ..plan.proxy.clone() };
+            let mut spec = Spec { classes: plan.classes.len(), ..plan.proxy.clone() };
+            spec.pick = options.baseline.and_then(Baseline::pick).unwrap_or(spec.pick);
             Prx {
                 model: Proxy::new(spec, rng.random(), standing, BASE),
                 zone: proxy.zone,
@@ -341,12 +348,16 @@
                 self.due.put(self.begin + micros(strike.at + strike.lasts), Due::Strike(k, false));
             }
         }
-        for conductor in 0..self.conductors.len() {
-            self.start_conductor(conductor);
-        }
-        for proxy in 0..self.proxies.len() {
-            let at = self.now + self.rng.random_range(0..100_000);
-            self.due.put(at, Due::Dial(proxy));
+        if self.options.baseline.is_some() {
+            self.deal_tables();
+        } else {
+            for conductor in 0..self.conductors.len() {
+                self.start_conductor(conductor);
+            }
+            for proxy in 0..self.proxies.len() {
+                let at = self.now + self.rng.random_range(0..100_000);
+                self.due.put(at, Due::Dial(proxy));
+            }
         }
         self.due.put(self.begin, Due::Ask);
         let end = self.begin + micros(plan.length);
@@ -770,6 +781,9 @@
 
     /// Dials again after a wait; `longer`: it was not welcomed.
     fn redial(&mut self, proxy: usize, longer: bool) {
+        if self.options.baseline.is_some() {
+            return;
+        }
         let first = micros(self.plan.redial).max(1000);
         let p = &mut self.proxies[proxy];
         p.wait = if longer { (p.wait * 2).min(first * 8) } else { first };
@@ -924,7 +938,7 @@
                 None => break,
                 Some(Output::Send { stream, frame }) => {
                     let Some(proxy) = self.conductors[k].streams.get(&stream).copied() else { continue };
-                    let Some(frame) = self.decode(&frame) else { continue };
+                    let Some(frame) = self.decode(frame) else { continue };
                     let (from, to) = (self.conductors[k].zone, self.proxies[proxy].zone);
                     if let Some(way) = self.way(from, to) {
                         self.due.put(now + way, Due::Down(proxy, stream, frame));
@@ -965,17 +979,15 @@
         }
     }
 
-    /// Frames for many proxies are the same bytes: each is decoded once.
-    fn decode(&mut self, frame: &[u8]) -> Option<Arc<FromConductor>> {
-        let key = (frame.as_ptr() as usize, frame.len());
-        if let Some((at, len, decoded)) = &self.decoded
-            && (*at, *len) == key
-            && Arc::strong_count(decoded) > 1
-        {
+    /// Frames for many proxies are the same bytes: each is decoded once. The bytes are kept with what they say, so
+    /// that no other frame can come to lie at the same address.
+    fn decode(&mut self, frame: Bytes) -> Option<Arc<FromConductor>> {
+        let same = |kept: &Bytes| (kept.as_ptr(), kept.len()) == (frame.as_ptr(), frame.len());
+        if let Some((_, decoded)) = self.decoded.as_ref().filter(|(kept, _)| same(kept)) {
             return Some(Arc::clone(decoded));
         }
-        let decoded = Arc::new(split_frame::<FromConductor>(frame).ok()?);
-        self.decoded = Some((key.0, key.1, Arc::clone(&decoded)));
+        let decoded = Arc::new(split_frame::<FromConductor>(&frame).ok()?);
+        self.decoded = Some((frame, Arc::clone(&decoded)));
         Some(decoded)
     }
 
@@ -1076,8 +1088,39 @@
         self.tell(k, Input::List { how, entries });
     }
 
+    /// Without a conductor every proxy follows the list by itself.
+    fn deal_tables(&mut self) {
+        let Some(baseline) = self.options.baseline else { return };
+        let listed = |k: &usize| {
+            let srv = &self.servers[*k];
+            !srv.hidden && srv.listed.is_some_and(|(state, _)| state == NodeState::Ready)
+        };
+        let entry = |k: usize| (k, self.plan.servers[k].zone, self.plan.servers[k].weight);
+        let ready: Vec<_> = (0..self.servers.len()).filter(listed).map(entry).collect();
+        // A list that cannot be had, or is empty, changes nothing.
+        if self.list_down || ready.is_empty() {
+            return;
+        }
+        let levels = Baseline::levels(&self.plan);
+        for proxy in 0..self.proxies.len() {
+            let chosen = baseline.choose(proxy, &self.plan, &ready);
+            let line = |(k, _, weight): (usize, usize, f64)| v1::Line {
+                server: Some(address(k).into()),
+                weight: weight as f32,
+            };
+            let lines = chosen.into_iter().map(line).collect();
+            let table = v1::Table { lines, levels: levels.clone(), ..v1::Table::default() };
+            let order = v1::Order { table: Some(table), ..v1::Order::default() };
+            let model = &mut self.proxies[proxy].model;
+            let (_, sequence) = model.newest();
+            model.apply(0, sequence + 1, &order);
+            self.orders += 1;
+        }
+    }
+
     /// Conductors that track the list are told of changes.
     fn list_changed(&mut self, servers: Vec<usize>) {
+        self.deal_tables();
         for k in 0..self.conductors.len() {
             if self.conductors[k].tracking && self.conductors[k].engine.is_some() {
                 let life = self.conductors[k].life;
@@ -1283,6 +1326,7 @@
                     }
                 }
             }
+            Trouble::KillConductor if self.options.baseline.is_some() => {}
             Trouble::KillConductor if on => self.kill_conductor(0),
             Trouble::KillConductor => self.start_conductor(0),
         }
@@ -1300,6 +1344,7 @@
         let classes = self.outcomes.tallies();
         Outcome {
             service: self.outcomes.service(),
+            mean_ms: self.outcomes.mean_ms(),
             asked: classes.iter().map(|t| t.asked).sum(),
             classes,
             breaks,
--- a/crates/stepspur-fleet/tests/world.rs
+++ b/crates/stepspur-fleet/tests/world.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
+use stepspur_fleet::baseline::Baseline;
 use stepspur_fleet::{Options, Outcome, run};
+use stepspur_model::proxy::Pick;
+use stepspur_model::server::Spec;
+use stepspur_model::work::Form;
 use stepspur_rehearsal::judge::Rule;
 use stepspur_rehearsal::plan::Plan;
 use stepspur_rehearsal::scenario::Scenario;
@@ -87,3 +91,41 @@
         assert!(outcome.breaks.is_empty() && outcome.service > 0.97, "{conductors}: {outcome:#?}");
     }
 }
+
+/// Mitzenmacher: with two choices by requests in hand the mean time is the sum of load to the power 2^i - 2; at
+/// random it is that of M/M/1. One proxy knows all requests in hand.
+#[test]
+fn two_choices_are_as_much_better_than_chance_as_theory_says() {
+    let load: f64 = 0.9;
+    let mean = |pick: Pick| {
+        let mut scenario = scenario("silent-server");
+        (scenario.faults, scenario.phases, scenario.expectations) = (vec![], vec![], vec![]);
+        scenario.zones.truncate(1);
+        scenario.kinds.truncate(1);
+        scenario.classes.truncate(1);
+        (scenario.servers, scenario.proxies) = (100, 1);
+        let kind = &mut scenario.kinds[0];
+        kind.server = Spec { cores: 1, slots: 1, room: 100_000, thrash: 0.0, cold: 1, ..Spec::default() };
+        kind.connections = 0;
+        let class = &mut scenario.classes[0];
+        (class.work, class.form) = (Duration::from_millis(10), Form::Exponential);
+        (class.aim, class.deadline) = (Duration::from_secs(30), Duration::from_secs(60));
+        (scenario.clients.retries, scenario.clients.try_share) = (0, 1.0);
+        scenario.length = Duration::from_secs(20);
+        scenario.proxy.pick = pick;
+        scenario.proxy.avoid_after = 0;
+        scenario.rate = load * 100.0 * 100.0;
+        let mut plan = scenario.plan("theory").unwrap();
+        plan.servers.iter_mut().for_each(|s| (s.spec.speed, s.weight) = (1.0, 1.0));
+        let options = Options { baseline: Some(Baseline::All), near: 1, judged: false, ..Options::default() };
+        let times: Vec<f64> =
+            (1..=2).map(|seed| run(&Plan { seed, ..plan.clone() }, &options).mean_ms).collect();
+        times.iter().sum::<f64>() / 2.0 / 10.0
+    };
+    let two: f64 = (1..8).map(|i| load.powi(2i32.pow(i) - 2)).sum();
+    for (pick, expected) in [(Pick::Lottery, 1.0 / (1.0 - load)), (Pick::Two, two)] {
+        let mean = mean(pick);
+        println!("{pick:?}: {mean:.3} mean works, theory {expected:.3}");
+        assert!((mean / expected - 1.0).abs() < 0.06, "{pick:?}: {mean} for {expected}");
+    }
+}
--- a/crates/stepspur-model/src/proxy.rs
+++ b/crates/stepspur-model/src/proxy.rs
@@ -22,6 +22,8 @@
     Wheel,
     /// At random by weight.
     Lottery,
+    /// Of two drawn at random by weight, the one with fewer own requests in hand for its weight.
+    Two,
 }
 
 /// A proxy's make.
@@ -50,20 +52,19 @@
     MayHaveRun,
 }
 
-/// A line of the table.
+/// A line of the table, with what a pick asks of its server.
 #[derive(Clone, Debug)]
 struct Line {
+    server: SocketAddr,
     weight: f64,
+    withdrawn: bool,
+    avoid_until: Micros,
+    /// Own requests in hand there.
+    held: u32,
     /// Smooth weighted round robin's running value.
     turn: f64,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Health {
-    fails: u32,
-    avoid_until: Micros,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Met {
     total: u32,
@@ -90,9 +91,11 @@
 pub struct Proxy {
     spec: Spec,
     rng: ChaCha8Rng,
-    lines: BTreeMap<SocketAddr, Line>,
+    /// In the order of their addresses: a pick looks at each, so they stand in a row.
+    lines: Vec<Line>,
     withdrawn: BTreeSet<SocketAddr>,
-    health: BTreeMap<SocketAddr, Health>,
+    /// Own failures in a row.
+    fails: BTreeMap<SocketAddr, u32>,
     classes: Vec<Class>,
     met: BTreeMap<SocketAddr, Met>,
     reported_at: Micros,
@@ -105,12 +108,14 @@
 impl Proxy {
     /// A proxy at its start, with its standing table.
     pub fn new(spec: Spec, seed: u64, standing: impl IntoIterator<Item = SocketAddr>, now: Micros) -> Self {
-        let lines = standing.into_iter().map(|server| (server, Line { weight: 1.0, turn: 0.0 }));
+        let lines: BTreeSet<SocketAddr> = standing.into_iter().collect();
+        let line =
+            |server| Line { server, weight: 1.0, withdrawn: false, avoid_until: 0, held: 0, turn: 0.0 };
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
-            lines: lines.collect(),
+            lines: lines.into_iter().map(line).collect(),
             withdrawn: BTreeSet::new(),
-            health: BTreeMap::new(),
+            fails: BTreeMap::new(),
             classes: vec![Class::default(); spec.classes],
             met: BTreeMap::new(),
             reported_at: now,
@@ -145,23 +150,38 @@
         self.sequence = sequence;
         self.ordered = true;
         if let Some(table) = &order.table {
-            self.lines.clear();
+            let before = std::mem::take(&mut self.lines);
             self.withdrawn.clear();
             self.classes.iter_mut().for_each(|class| class.level = None);
             self.change(&table.lines, &table.levels, &table.withdrawals);
+            // What a proxy met itself outlives a table.
+            for line in before.into_iter().filter(|line| line.avoid_until > 0 || line.held > 0) {
+                if let Ok(at) = self.place(line.server) {
+                    (self.lines[at].avoid_until, self.lines[at].held) = (line.avoid_until, line.held);
+                }
+            }
         }
         self.change(&order.lines, &order.levels, &order.withdrawals);
         order.mark
     }
 
+    fn place(&self, server: SocketAddr) -> Result<usize, usize> {
+        self.lines.binary_search_by_key(&server, |line| line.server)
+    }
+
     fn change(&mut self, lines: &[v1::Line], levels: &[v1::Level], withdrawals: &[v1::Withdrawal]) {
         for line in lines {
             let Ok(server) = address_of(&line.server) else { continue };
             let weight = f64::from(line.weight);
-            if weight > 0.0 && weight.is_finite() {
-                self.lines.entry(server).or_insert(Line { weight, turn: 0.0 }).weight = weight;
-            } else {
-                self.lines.remove(&server);
+            match (self.place(server), weight > 0.0 && weight.is_finite()) {
+                (Ok(at), true) => self.lines[at].weight = weight,
+                (Ok(at), false) => _ = self.lines.remove(at),
+                (Err(at), true) => {
+                    let withdrawn = self.withdrawn.contains(&server);
+                    let line = Line { server, weight, withdrawn, avoid_until: 0, held: 0, turn: 0.0 };
+                    self.lines.insert(at, line);
+                }
+                (Err(_), false) => {}
             }
         }
         for level in levels {
@@ -176,8 +196,12 @@
             } else {
                 self.withdrawn.remove(&server)
             };
+            if let Ok(at) = self.place(server) {
+                self.lines[at].withdrawn = withdrawal.out;
+            }
         }
-        self.health.retain(|server, _| self.lines.contains_key(server));
+        let lines = &self.lines;
+        self.fails.retain(|server, _| lines.binary_search_by_key(server, |line| line.server).is_ok());
     }
 
     /// Counts a request that came and tells if its class's level lets it in.
@@ -202,50 +226,67 @@
 
     /// A server to try, none of `tried` if there is another; none if no line is left to pick.
     pub fn pick(&mut self, now: Micros, tried: &[SocketAddr]) -> Option<SocketAddr> {
-        let clear = |p: &Self, s: &SocketAddr| p.health.get(s).is_none_or(|h| h.avoid_until <= now);
-        let open = |p: &Self, s: &SocketAddr| !p.withdrawn.contains(s) && !tried.contains(s);
-        let mut usable: Vec<SocketAddr> =
-            self.lines.keys().filter(|s| open(self, s) && clear(self, s)).copied().collect();
-        if usable.is_empty() {
-            // All that are left failed of late: that is worth no refusal.
-            usable = self.lines.keys().filter(|s| open(self, s)).copied().collect();
+        // If all that are left failed of late: that is worth no refusal.
+        let server = self.pick_of(tried, now).or_else(|| self.pick_of(tried, Micros::MAX))?;
+        if let Ok(at) = self.place(server) {
+            self.lines[at].held += 1;
         }
+        Some(server)
+    }
+
+    /// Of lines that are not avoided beyond then.
+    fn pick_of(&mut self, tried: &[SocketAddr], clear_by: Micros) -> Option<SocketAddr> {
+        let usable =
+            |line: &Line| !line.withdrawn && line.avoid_until <= clear_by && !tried.contains(&line.server);
         match self.spec.pick {
-            Pick::Wheel => self.turn(&usable),
-            Pick::Lottery => self.draw(&usable),
+            Pick::Wheel => self.turn(usable),
+            Pick::Lottery => self.draw(usable),
+            Pick::Two => {
+                let (one, other) = (self.draw(usable)?, self.draw(usable)?);
+                let load = |server| {
+                    self.place(server)
+                        .map_or(0.0, |at| f64::from(self.lines[at].held) / self.lines[at].weight)
+                };
+                Some(if load(other) < load(one) { other } else { one })
+            }
         }
     }
 
     /// Smooth weighted round robin: each usable line gains its weight, the fullest is picked and pays for all.
-    fn turn(&mut self, usable: &[SocketAddr]) -> Option<SocketAddr> {
+    fn turn(&mut self, usable: impl Fn(&Line) -> bool) -> Option<SocketAddr> {
         let mut all = 0.0;
-        let mut best: Option<(f64, SocketAddr)> = None;
-        for server in usable {
-            let Some(line) = self.lines.get_mut(server) else { continue };
+        let mut best: Option<(f64, usize)> = None;
+        for (at, line) in self.lines.iter_mut().enumerate().filter(|(_, line)| usable(line)) {
             line.turn += line.weight;
             all += line.weight;
             if best.is_none_or(|(turn, _)| line.turn > turn) {
-                best = Some((line.turn, *server));
+                best = Some((line.turn, at));
             }
         }
-        let (_, server) = best?;
-        self.lines.entry(server).and_modify(|line| line.turn -= all);
-        Some(server)
+        let line = &mut self.lines[best?.1];
+        line.turn -= all;
+        Some(line.server)
     }
 
-    fn draw(&mut self, usable: &[SocketAddr]) -> Option<SocketAddr> {
-        let weight = |s: &SocketAddr| self.lines.get(s).map_or(0.0, |l| l.weight);
-        let all: f64 = usable.iter().map(weight).sum();
-        let mut at = self.rng.random::<f64>() * all;
-        let found = usable.iter().find(|s| {
-            at -= weight(s);
-            at < 0.0
-        });
-        found.or(usable.last()).copied()
+    fn draw(&mut self, usable: impl Fn(&Line) -> bool) -> Option<SocketAddr> {
+        let all: f64 = self.lines.iter().filter(|line| usable(line)).map(|line| line.weight).sum();
+        let mut at = if all > 0.0 { self.rng.random::<f64>() * all } else { return None };
+        let mut last = None;
+        for line in self.lines.iter().filter(|line| usable(line)) {
+            at -= line.weight;
+            last = Some(line.server);
+            if at < 0.0 {
+                break;
+            }
+        }
+        last
     }
 
     /// Notes how a try ended. What was cancelled by the client tells nothing and is not noted.
     pub fn note(&mut self, now: Micros, server: SocketAddr, tried: Tried, took: Micros, load: Vec<f32>) {
+        if let Ok(at) = self.place(server) {
+            self.lines[at].held = self.lines[at].held.saturating_sub(1);
+        }
         let met = self.met.entry(server).or_default();
         met.total = met.total.saturating_add(1);
         if tried == Tried::Good {
@@ -256,10 +297,17 @@
         if !load.is_empty() {
             met.load = load;
         }
-        let health = self.health.entry(server).or_default();
-        health.fails = if tried == Tried::Good { 0 } else { health.fails + 1 };
-        if self.spec.avoid_after > 0 && health.fails >= self.spec.avoid_after {
-            (health.fails, health.avoid_until) = (0, now + self.spec.avoid_for);
+        if tried == Tried::Good {
+            self.fails.remove(&server);
+            return;
+        }
+        let fails = self.fails.entry(server).or_default();
+        *fails += 1;
+        if self.spec.avoid_after > 0 && *fails >= self.spec.avoid_after {
+            *fails = 0;
+            if let Ok(at) = self.place(server) {
+                self.lines[at].avoid_until = now + self.spec.avoid_for;
+            }
         }
     }
 
@@ -292,12 +340,12 @@
 
     /// True: there is a line to pick, avoided or not.
     pub fn has_line(&self) -> bool {
-        self.lines.keys().any(|s| !self.withdrawn.contains(s))
+        self.lines.iter().any(|line| !line.withdrawn)
     }
 
     /// The table as it stands, withdrawals taken out.
     pub fn lines(&self) -> impl Iterator<Item = (SocketAddr, f64)> {
-        self.lines.iter().filter(|(s, _)| !self.withdrawn.contains(s)).map(|(s, l)| (*s, l.weight))
+        self.lines.iter().filter(|line| !line.withdrawn).map(|line| (line.server, line.weight))
     }
 
     /// The level of a class, if one was ordered.
--- a/crates/stepspur-rehearsal/src/clients.rs
+++ b/crates/stepspur-rehearsal/src/clients.rs
@@ -120,6 +120,13 @@
         part.tally(class)
     }
 
+    /// Mean time of answers, milliseconds, over all classes; 0 if there was none.
+    pub fn mean_ms(&self) -> f64 {
+        let all = self.whole.0.iter().map(|(_, times)| (times.mean() * times.len() as f64, times.len()));
+        let (sum, many) = all.fold((0.0, 0), |(sum, many), (s, m)| (sum + s, many + m));
+        sum / many.max(1) as f64 / 1e3
+    }
+
     /// By the second asked: in time, late, refused, failed.
     pub fn seconds(&self) -> &[[u64; 4]] {
         &self.seconds
--- a/crates/stepspur-rehearsal/src/judge.rs
+++ b/crates/stepspur-rehearsal/src/judge.rs
@@ -161,6 +161,8 @@
     figures: &'a Figures,
     begin: Micros,
     proxies: BTreeMap<usize, Seen>,
+    /// Those that are joined, read, and have nothing to pick: few, so that time passing costs little.
+    empty: BTreeSet<usize>,
     told: BTreeMap<SocketAddr, Told>,
     fresh: BTreeMap<SocketAddr, Fresh>,
     /// Attempts of a client's try whose effect has taken place, of classes that must not run twice.
@@ -178,6 +180,7 @@
             figures,
             begin: 0,
             proxies: BTreeMap::new(),
+            empty: BTreeSet::new(),
             told: BTreeMap::new(),
             fresh: BTreeMap::new(),
             effects: BTreeMap::new(),
@@ -221,6 +224,24 @@
             Event::Fell { server } => self.fell(at, *server),
             Event::Arrived(arrival) => self.arrival(at, arrival),
         }
+        if let Event::ProxyStarted { proxy, .. }
+        | Event::Up { proxy }
+        | Event::Down { proxy }
+        | Event::Reads { proxy, .. } = event
+        {
+            self.refresh(*proxy);
+        }
+    }
+
+    /// A proxy's table, stream or reading has changed.
+    fn refresh(&mut self, proxy: usize) {
+        let Some(seen) = self.proxies.get_mut(&proxy) else { return };
+        if seen.joined.is_some() && seen.reads && seen.lines.is_subset(&seen.out) {
+            self.empty.insert(proxy);
+        } else {
+            self.empty.remove(&proxy);
+            seen.bare = None;
+        }
     }
 
     fn order(&mut self, at: Micros, proxy: usize, order: &v1::Order, lines: f64) {
@@ -261,6 +282,7 @@
         if messages_max > 0 && many > messages_max as usize {
             self.broken(Rule::Queue, at, format!("proxy {proxy} was written {many} messages in the window"));
         }
+        self.refresh(proxy);
         self.look_for_bare(at);
     }
 
@@ -298,13 +320,16 @@
 
     /// Rule 1: joined proxies with nothing to pick, while an open, warm server is listed ready.
     fn look_for_bare(&mut self, at: Micros) {
+        if self.empty.is_empty() {
+            return;
+        }
         let warm = |t: &Told| t.state == NodeState::Ready && t.started + self.figures.cold <= at;
         let might = self.told.values().any(warm);
         let max = self.figures.unserved_max;
         let mut found = Vec::new();
-        for (proxy, seen) in &mut self.proxies {
-            let Some(joined) = seen.joined.filter(|_| might && seen.reads && seen.lines.is_subset(&seen.out))
-            else {
+        for proxy in &self.empty {
+            let Some(seen) = self.proxies.get_mut(proxy) else { continue };
+            let Some(joined) = seen.joined.filter(|_| might) else {
                 seen.bare = None;
                 continue;
             };
--- a/crates/stepspur-rehearsal/src/replay.rs
+++ b/crates/stepspur-rehearsal/src/replay.rs
@@ -299,7 +299,11 @@
                 })
                 .collect(),
             proxy: proxy::Spec {
-                pick: if day.fam.pick == "round" { proxy::Pick::Wheel } else { proxy::Pick::Lottery },
+                pick: match day.fam.pick.as_str() {
+                    "round" => proxy::Pick::Wheel,
+                    "two" => proxy::Pick::Two,
+                    _ => proxy::Pick::Lottery,
+                },
                 avoid_after: day.fam.ejects,
                 avoid_for: day.fam.eject as u64,
                 classes: day.classes.len(),
@@ -331,9 +335,6 @@
             trains: String::new(),
             identity: false,
         };
-        if day.fam.pick == "two" {
-            self.left_out.push("pick `two`: by chance and weight instead".into());
-        }
         let Self { scale, left_out, .. } = self;
         Ok(Replayed { plan, scale, left_out })
     }
--- a/crates/stepspur-rehearsal/src/run.rs
+++ b/crates/stepspur-rehearsal/src/run.rs
@@ -49,6 +49,9 @@
     /// The day's own keys cannot be made.
     #[error("the day's keys: {0}")]
     Keys(#[from] KeyFault),
+    /// More stand-ins than one machine has sockets for.
+    #[error("{0} servers and {1} proxies are too many for sockets on one machine: play it in virtual time")]
+    TooLarge(usize, usize),
     /// The plan's settings for the conductor are out of bounds.
     #[error("the day's settings are out of bounds: {0}")]
     Config(String),
@@ -166,6 +169,8 @@
     tasks: TaskTracker,
 }
 
+/// Servers and proxies that are played by sockets at most.
+const BY_SOCKETS: usize = 5000;
 /// The stand-ins have so long to come up before the first request.
 const LEAD: Duration = Duration::from_millis(1000);
 /// A machine whose timers are so late plays no day of this rate.
@@ -181,6 +186,9 @@
     launcher: Launcher,
     progress: Option<watch::Sender<Progress>>,
 ) -> Result<Report, RunError> {
+    if plan.servers.len() + plan.proxies.len() > BY_SOCKETS {
+        return Err(RunError::TooLarge(plan.servers.len(), plan.proxies.len()));
+    }
     let plan = Arc::new(plan);
     let stop = CancellationToken::new();
     let _stopped = stop.clone().drop_guard();
--- a/crates/stepspur-rehearsal/src/scenario.rs
+++ b/crates/stepspur-rehearsal/src/scenario.rs
@@ -416,8 +416,8 @@
         };
         need(self.length <= Duration::from_secs(3600), "length: an hour at most".into());
         need(self.rate > 0.0 && self.rate <= 1e5, "rate: above 0, 100000 at most".into());
-        need((1..=5000).contains(&self.servers), "servers: 1 to 5000".into());
-        need((1..=5000).contains(&self.proxies), "proxies: 1 to 5000".into());
+        need((1..=20_000).contains(&self.servers), "servers: 1 to 20000".into());
+        need((1..=50_000).contains(&self.proxies), "proxies: 1 to 50000".into());
         need(!self.zones.is_empty() && self.zones.len() <= 100, "zones: 1 to 100".into());
         need(!self.kinds.is_empty(), "kinds: one at least".into());
         need(self.kinds.iter().any(|k| k.share > 0.0), "kinds: one with a share above 0".into());
