--- a/crates/stepspur-fleet/src/world.rs
+++ b/crates/stepspur-fleet/src/world.rs
@@ -167,6 +167,8 @@
     /// Frames that it has not read.
     unread: Vec<(StreamId, Arc<FromConductor>)>,
     busy_until: Micros,
+    /// The newest frame on its way reaches the other end then, down and up: none overtakes another.
+    last: [Micros; 2],
     /// Idle connections by server.
     pool: HashMap<usize, Vec<(u64, Conn)>>,
 }
@@ -297,6 +299,7 @@
                 fate: Fate::default(),
                 unread: Vec::new(),
                 busy_until: 0,
+                last: [0, 0],
                 pool: HashMap::new(),
             }
         });
@@ -775,8 +778,10 @@
         };
         let (epoch, sequence) = p.model.newest();
         let frame = FromProxy::new(epoch, sequence, from_proxy::Kind::Hello(hello));
+        self.proxies[proxy].last = [0, 0];
         self.conductors[conductor].streams.insert(stream, proxy);
-        self.due.put(self.now + 3 * way, Due::Up(conductor, stream, Box::new(frame)));
+        let at = self.in_order(proxy, 1, self.now + 3 * way);
+        self.due.put(at, Due::Up(conductor, stream, Box::new(frame)));
     }
 
     /// Dials again after a wait; `longer`: it was not welcomed.
@@ -808,13 +813,21 @@
         self.redial(proxy, !welcomed);
     }
 
+    /// A stream keeps the order of its frames, however late some are.
+    fn in_order(&mut self, proxy: usize, way: usize, at: Micros) -> Micros {
+        let last = &mut self.proxies[proxy].last[way];
+        *last = at.max(*last);
+        *last
+    }
+
     fn up(&mut self, proxy: usize, stream: StreamId, kind: from_proxy::Kind) {
         let p = &self.proxies[proxy];
         let (conductor, (epoch, sequence)) = (p.conductor, p.model.newest());
         let (from, to) = (p.zone, self.conductors[conductor].zone);
         if let Some(way) = self.way(from, to) {
             let frame = Box::new(FromProxy::new(epoch, sequence, kind));
-            self.due.put(self.now + way, Due::Up(conductor, stream, frame));
+            let at = self.in_order(proxy, 1, self.now + way);
+            self.due.put(at, Due::Up(conductor, stream, frame));
         }
     }
 
@@ -891,7 +904,8 @@
         let to = self.conductors[conductor].zone;
         if let Some(way) = self.way(zone, to) {
             let frame = Box::new(FromProxy::new(epoch, sequence, from_proxy::Kind::Report(report)));
-            self.due.put(self.now + late + way, Due::Up(conductor, stream, frame));
+            let at = if late > 0 { self.now + late + way } else { self.in_order(proxy, 1, self.now + way) };
+            self.due.put(at, Due::Up(conductor, stream, frame));
         }
     }
 
@@ -941,7 +955,8 @@
                     let Some(frame) = self.decode(frame) else { continue };
                     let (from, to) = (self.conductors[k].zone, self.proxies[proxy].zone);
                     if let Some(way) = self.way(from, to) {
-                        self.due.put(now + way, Due::Down(proxy, stream, frame));
+                        let at = self.in_order(proxy, 0, now + way);
+                        self.due.put(at, Due::Down(proxy, stream, frame));
                     }
                 }
                 Some(Output::Close { stream, .. }) => {
--- a/crates/stepspur-fleet/tests/experiment.rs
+++ b/crates/stepspur-fleet/tests/experiment.rs
@@ -1,6 +1,6 @@
 //! Experiments: intervals that mean what they say, results that survive, mistakes told with their place.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 
 use stepspur_fleet::experiment::{ExperimentError, Finished, Lab, estimate};
@@ -20,7 +20,7 @@
 const TWO: &str =
     "[[arm]]\nname = \"a\"\n[[arm]]\nname = \"b\"\n[arm.conductor.reports]\nevery = \"400ms\"\n";
 
-fn played(file: &PathBuf, results: &PathBuf, threads: usize) -> (Vec<Finished>, String) {
+fn played(file: &Path, results: &Path, threads: usize) -> (Vec<Finished>, String) {
     let lab = Lab::open(file, results).unwrap();
     let heard = Mutex::new(Vec::new());
     let found = lab.play(threads, &|f| heard.lock().unwrap().push(f.clone())).unwrap();
