--- a/crates/stepspur-cli/src/fleet.rs
+++ b/crates/stepspur-cli/src/fleet.rs
@@ -22,9 +22,9 @@
     /// The seed, in place of the file's.
     #[arg(long)]
     seed: Option<u64>,
-    /// Conductors; proxies are dealt to them in turn.
-    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=100))]
-    conductors: u32,
+    /// Conductors, in place of the day's (a scenario has one); proxies are dealt to them in turn.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=100))]
+    conductors: Option<u32>,
     /// Of a bench day: servers, proxies and traffic as a part of the day's.
     #[arg(long, default_value_t = 1.0)]
     scale: f64,
@@ -36,10 +36,14 @@
 /// Plays a file in virtual time.
 pub fn model(args: &ModelArgs) -> anyhow::Result<End> {
     let name = args.file.display().to_string();
+    let mut options = Options::default();
     let plan: Result<Plan, String> = if args.file.extension().is_some_and(|e| e == "json") {
         let text = std::fs::read_to_string(&args.file).with_context(|| name.clone())?;
         replay::read(&text, Some(args.scale)).map_err(|e| format!("{name}: {e}")).map(|replayed| {
             replayed.left_out.iter().for_each(|left| eprintln!("not mapped: {left}"));
+            options.conductors = replayed.conductor_zones.len().max(1);
+            options.conductor_zones = replayed.conductor_zones;
+            options.reports_late = replayed.reports_late.as_micros() as u64;
             replayed.plan
         })
     } else {
@@ -53,7 +57,7 @@
         }
     };
     plan.seed = args.seed.unwrap_or(plan.seed);
-    let options = Options { conductors: args.conductors as usize, ..Options::default() };
+    options.conductors = args.conductors.map_or(options.conductors, |n| n as usize);
     let outcome = run(&plan, &options);
     if args.json {
         println!("{}", serde_json::to_string_pretty(&outcome)?);
--- a/crates/stepspur-cli/src/play.rs
+++ b/crates/stepspur-cli/src/play.rs
@@ -98,7 +98,7 @@
         replayed.plan.proxies.len(),
         replayed.plan.rate
     );
-    for left in &replayed.left_out {
+    for left in replayed.left_out.iter().chain(&replayed.left_out_by_sockets) {
         eprintln!("not mapped: {left}");
     }
     play_plan(replayed.plan, args).await
--- a/crates/stepspur-fleet/src/world.rs
+++ b/crates/stepspur-fleet/src/world.rs
@@ -36,10 +36,14 @@
 pub struct Options {
     /// Conductors; proxies are dealt to them in turn. A conductor that is killed is the first.
     pub conductors: usize,
+    /// Their zones; those beyond it lie in the plan's and the zones after that, in turn.
+    pub conductor_zones: Vec<usize>,
     /// One way within a zone, microseconds.
     pub near: Micros,
     /// One way between zones, microseconds.
     pub far: Micros,
+    /// Reports are so late all day, microseconds.
+    pub reports_late: Micros,
     /// In place of conductors: tables made from the list alone.
     pub baseline: Option<Baseline>,
     /// True: events are kept and the five rules judged. Costs memory for each request.
@@ -48,7 +52,15 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { conductors: 1, near: 100, far: 400, baseline: None, judged: true }
+        Self {
+            conductors: 1,
+            conductor_zones: Vec::new(),
+            near: 100,
+            far: 400,
+            reports_late: 0,
+            baseline: None,
+            judged: true,
+        }
     }
 }
 
@@ -296,7 +308,7 @@
                 welcomed: false,
                 wait: plan.redial.as_micros() as Micros,
                 report_every: 1_000_000,
-                fate: Fate::default(),
+                fate: Fate { late: options.reports_late, ..Fate::default() },
                 unread: Vec::new(),
                 busy_until: 0,
                 last: [0, 0],
@@ -309,7 +321,8 @@
             life: 0,
             wake: Micros::MAX,
             tracking: false,
-            zone: (plan.conductor_zone + k) % plan.zones.len(),
+            zone: options.conductor_zones.get(k).copied().unwrap_or(plan.conductor_zone + k)
+                % plan.zones.len(),
             streams: BTreeMap::new(),
         };
         Self {
@@ -1328,7 +1341,7 @@
                 self.proxies.iter_mut().for_each(|p| p.fate.slow = part(*by));
             }
             Trouble::LateReports(by) => {
-                let late = if on { micros(*by) } else { 0 };
+                let late = self.options.reports_late + if on { micros(*by) } else { 0 };
                 self.proxies.iter_mut().for_each(|p| p.fate.late = late);
             }
             Trouble::CutOff(proxies) => proxies.iter().for_each(|p| self.cut_off(*p, on)),
--- a/crates/stepspur-rehearsal/src/replay.rs
+++ b/crates/stepspur-rehearsal/src/replay.rs
@@ -36,8 +36,14 @@
     pub plan: Plan,
     /// Servers, proxies and traffic, as a part of the day's.
     pub scale: f64,
+    /// The zones of the day's conductors; by sockets one is played, in the first of them.
+    pub conductor_zones: Vec<usize>,
+    /// How late reports are all day; by sockets they are as quick as loopback.
+    pub reports_late: Duration,
     /// Kinds of trouble and facts that are not played, each with the reason.
     pub left_out: Vec<String>,
+    /// Facts that are left out by sockets only.
+    pub left_out_by_sockets: Vec<String>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -263,21 +269,25 @@
         let up_kept = kept.iter().map(|k| &day.servers[*k]).filter(|s| s.up);
         let kept_capacity: f64 = up_kept.map(|s| f64::from(kind(day, s).cores) * s.speed).sum();
         let rate = full * kept_capacity / capacity.max(1e-9);
-        let mut made = Self { day, scale, servers, proxies, rate, left_out: Vec::new() };
-        let controllers = day.fam.controllers.len();
-        if controllers > 1 {
-            made.left_out.push(format!("{controllers} conductors: one is played, with all proxies"));
-        }
-        made
+        Self { day, scale, servers, proxies, rate, left_out: Vec::new() }
     }
 
     fn finish(mut self) -> Result<Replayed, ReplayError> {
         let day = self.day;
         let strikes = day.troubles.iter().flat_map(|t| self.strikes(t)).collect();
-        if day.fam.heard_late > 0.0 {
-            self.left_out.push(format!(
+        let mut left_out_by_sockets = Vec::new();
+        // Told by the zone of each.
+        let in_zone = |zone: &u32| (*zone as usize) % day.zones.len();
+        let conductor_zones: Vec<usize> = day.fam.controllers.iter().map(in_zone).collect();
+        if conductor_zones.len() > 1 {
+            let many = conductor_zones.len();
+            left_out_by_sockets.push(format!("{many} conductors: one is played, with all proxies"));
+        }
+        let reports_late = span(day.fam.heard_late);
+        if !reports_late.is_zero() {
+            left_out_by_sockets.push(format!(
                 "reports {:.1} s late all day: loopback is quicker",
-                day.fam.heard_late * 1e-6
+                reports_late.as_secs_f64()
             ));
         }
         let server = |old: &usize| self.server(&day.servers[*old]);
@@ -326,7 +336,7 @@
                 key_zipf: day.traffic.key_zipf,
             },
             list_delay: span(day.discovery.notice),
-            conductor_zone: 0,
+            conductor_zone: conductor_zones.first().copied().unwrap_or(0),
             rules: self.rules(),
             config: self.config()?,
             strikes,
@@ -336,7 +346,7 @@
             identity: false,
         };
         let Self { scale, left_out, .. } = self;
-        Ok(Replayed { plan, scale, left_out })
+        Ok(Replayed { plan, scale, conductor_zones, reports_late, left_out, left_out_by_sockets })
     }
 
     fn tier(&self) -> &Tier {
