Reckon a mask by all whom it reaches, so that the channel keeps its bound

At fault: policy.rs, mask: it asked and charged for the waiting proxies alone, 56 lines, while 160 more went to those bound to tables that still named the server. Change: mask asks and charges for both.

--- a/crates/stepspur-conductor/tests/faults.rs
+++ b/crates/stepspur-conductor/tests/faults.rs
@@ -287,6 +287,18 @@
         day.run(4 * SECOND);
         assert!(day.names(1).contains(&server), "and back");
     };
+    a_drain_and_its_mask_fit_the_channel_while_tables_wait({
+        let mut set = slow();
+        set.channel.lines_per_s *= 3.0;
+        set
+    }) |day| {
+        // Most have their tables ordered, the rest wait for room: both must hear that a server of theirs is gone.
+        (5..30).for_each(|k| day.join(k, &format!("p{k}"), "a"));
+        day.run(SECOND / 100);
+        day.list(ListHow::Delta, gone([2]));
+        day.run(5 * SECOND);
+        assert!((1..30).all(|k| !day.names(k).contains(&address(2))));
+    };
     #[should_panic] // Found; not mended yet.
     a_server_masked_when_it_went_is_forgotten_too(slow()) |day| {
         // A proxy waits for its table while the server goes: it is masked for those who wait.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -655,8 +655,11 @@
         let wanted = |s: &Server| !s.ready() && (s.masked || !waiting.is_empty());
         let wrong = self.servers.values().filter(|s| s.masked != wanted(s)).map(|s| s.listed.server);
         let wrong: Vec<_> = wrong.collect();
-        if !wrong.is_empty() && self.may_send(DRAIN, 0, &waiting, wrong.len()) {
-            self.charge(&waiting, wrong.len());
+        // It also reaches those whose table still names the server, as its removal waits for room.
+        let naming = self.tables.values().filter(|t| wrong.iter().any(|id| t.lines.contains_key(id)));
+        let reached: BTreeSet<_> = naming.flat_map(|t| &t.users).chain(&waiting).copied().collect();
+        if !wrong.is_empty() && self.may_send(DRAIN, 0, &reached, wrong.len()) {
+            self.charge(&reached, wrong.len());
             for id in wrong {
                 let out = !self.servers[&id].masked;
                 self.servers.entry(id).and_modify(|s| s.masked = out);
