--- a/crates/stepspur-conductor/tests/common/mod.rs
+++ b/crates/stepspur-conductor/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod day;
+pub mod peer;
 pub mod rules;
 
 use std::collections::BTreeSet;
--- /dev/null
+++ b/crates/stepspur-conductor/tests/common/peer.rs
@@ -0,0 +1,181 @@
+//! A conductor on loopback, a file of servers, and a proxy that does as the protocol says.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
+
+use futures_util::{SinkExt, StreamExt};
+use stepspur_conductor::source::FileSource;
+use stepspur_conductor::{Conductor, Config};
+use stepspur_proto::{Frames, FromConductor, FromProxy, address_of, from_conductor, from_proxy, v1};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use super::rules::Rules;
+use super::{address, config, hello, nodes};
+
+pub const LONG: Duration = Duration::from_secs(10);
+
+/// A file of servers that goes with the test.
+pub struct Nodes(pub PathBuf);
+
+impl Nodes {
+    pub fn new(test: &str, text: &str) -> Self {
+        let nodes = Self(std::env::temp_dir().join(format!("stepspur-{test}-{}.toml", std::process::id())));
+        nodes.write(text);
+        nodes
+    }
+
+    /// In one step, as an operator should: a reader sees the old text or the new.
+    pub fn write(&self, text: &str) {
+        let beside = self.0.with_extension("new");
+        std::fs::write(&beside, text).unwrap();
+        std::fs::rename(&beside, &self.0).unwrap();
+    }
+}
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+pub fn listed(count: usize, draining: Option<usize>) -> String {
+    let state = |k| if Some(k) == draining { "draining" } else { "ready" };
+    let node = |k| {
+        format!(
+            "[[node]]\naddress = \"{}\"\nzone = \"{}\"\nstate = \"{}\"\n",
+            address(k),
+            ["a", "b"][k % 2],
+            state(k)
+        )
+    };
+    (0..count).map(node).collect()
+}
+
+pub async fn start(config: Config, nodes: &Nodes) -> Conductor {
+    let source = FileSource::new(nodes.0.clone(), Duration::from_millis(10));
+    Conductor::start(config, Box::new(source)).await.unwrap()
+}
+
+/// A proxy that keeps its table as the protocol says and answers marks.
+pub struct Proxy {
+    pub frames: Framed<TcpStream, Frames<FromConductor, FromProxy>>,
+    epoch: u64,
+    pub held: BTreeSet<SocketAddr>,
+    /// The rules that it is checked by, and the number of its stream there.
+    checked: Option<(Checker, u64)>,
+}
+
+/// The rules of a test's proxies, shared by them.
+pub type Checker = Arc<Mutex<Rules>>;
+
+/// The rules for servers that are all ready. Sockets take the machine's time, so every grace is ten times as long.
+pub fn checker(servers: usize) -> Checker {
+    let mut set = config();
+    for grace in [&mut set.fleet.drain_grace, &mut set.fleet.unserved_max] {
+        *grace *= 10;
+    }
+    let mut rules = Rules::new(&set);
+    rules.truth(now(), &nodes(servers));
+    Arc::new(Mutex::new(rules))
+}
+
+pub fn now() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_micros() as u64
+}
+
+/// Waits until nothing of an ended stream is left, and checks the five rules.
+pub async fn close(conductor: Conductor, rules: Checker) {
+    let settled = async {
+        loop {
+            let stats = conductor.stats().await.unwrap();
+            if (stats.marks, stats.unbound, stats.channel[0]) == (0, 0, 0.0) {
+                return stats;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let stats = timeout(LONG, settled).await.expect("all is settled");
+    rules.lock().unwrap().end(now(), &stats);
+    timeout(LONG, conductor.stop()).await.expect("every task ends");
+}
+
+impl Proxy {
+    pub async fn join(conductor: &Conductor, name: &str) -> Self {
+        let socket = TcpStream::connect(conductor.address()).await.unwrap();
+        let mut frames = Framed::new(socket, Frames::new(1 << 20));
+        frames.send(hello(name, "a")).await.unwrap();
+        Self { frames, epoch: 0, held: BTreeSet::new(), checked: None }
+    }
+
+    /// Joins, and is checked by the rules until its stream ends.
+    pub async fn checked(conductor: &Conductor, name: &str, rules: &Checker, key: u64) -> Self {
+        let mut proxy = Self::join(conductor, name).await;
+        rules.lock().unwrap().joined(key, now());
+        proxy.checked = Some((Arc::clone(rules), key));
+        proxy
+    }
+
+    /// The next frame, or none at the stream's end.
+    pub async fn next(&mut self) -> Option<from_conductor::Kind> {
+        let frame = timeout(LONG, self.frames.next()).await.expect("a frame in time")?.ok()?;
+        self.epoch = frame.epoch;
+        if let Some(from_conductor::Kind::Order(order)) = &frame.kind {
+            if let Some((rules, key)) = &self.checked {
+                rules.lock().unwrap().order(*key, now(), order);
+            }
+            if let Some(table) = &order.table {
+                self.held = table.lines.iter().map(|l| address_of(&l.server).unwrap()).collect();
+            }
+            for line in &order.lines {
+                let server = address_of(&line.server).unwrap();
+                if line.weight > 0.0 {
+                    self.held.insert(server)
+                } else {
+                    self.held.remove(&server)
+                };
+            }
+            if let Some(mark) = order.mark {
+                let applied = from_proxy::Kind::Applied(v1::Applied { mark, took_us: 0 });
+                let _ = self.frames.send(FromProxy::new(self.epoch, frame.sequence, applied)).await;
+            }
+        }
+        frame.kind
+    }
+
+    pub async fn until(&mut self, held: impl Fn(&BTreeSet<SocketAddr>) -> bool) {
+        while !held(&self.held) {
+            assert!(self.next().await.is_some(), "the stream ended");
+        }
+    }
+
+    /// Reads until the token of a ping comes back: all that was ordered before has been read.
+    pub async fn settle(&mut self) {
+        let token = now();
+        self.frames.send(FromProxy::new(0, 0, from_proxy::Kind::Ping(v1::Ping { token }))).await.unwrap();
+        while self.next().await != Some(from_conductor::Kind::Pong(v1::Pong { token })) {}
+    }
+
+    /// The reason of the goodbye that ends the stream.
+    pub async fn end(&mut self) -> Option<v1::Reason> {
+        let mut reason = None;
+        while let Some(kind) = self.next().await {
+            if let from_conductor::Kind::Goodbye(goodbye) = kind {
+                reason = Some(goodbye.reason());
+            }
+        }
+        reason
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        if let Some((rules, key)) = &self.checked {
+            rules.lock().unwrap().left(*key);
+        }
+    }
+}
--- a/crates/stepspur-conductor/tests/service.rs
+++ b/crates/stepspur-conductor/tests/service.rs
@@ -3,120 +3,17 @@
 mod common;
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
-use common::{address, config, hello};
-use futures_util::{SinkExt, StreamExt};
+use common::peer::{LONG, Nodes, Proxy, listed, start};
+use common::{address, config};
+use futures_util::SinkExt;
+use stepspur_conductor::Conductor;
 use stepspur_conductor::source::FileSource;
-use stepspur_conductor::{Conductor, Config};
-use stepspur_proto::{Frames, FromConductor, FromProxy, address_of, from_conductor, from_proxy, v1};
+use stepspur_proto::{FromProxy, from_conductor, from_proxy, v1};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
-
-const LONG: Duration = Duration::from_secs(10);
-
-/// A file of servers that goes with the test.
-struct Nodes(PathBuf);
-
-impl Nodes {
-    fn new(test: &str, text: &str) -> Self {
-        let nodes = Self(std::env::temp_dir().join(format!("stepspur-{test}-{}.toml", std::process::id())));
-        nodes.write(text);
-        nodes
-    }
-
-    /// In one step, as an operator should: a reader sees the old text or the new.
-    fn write(&self, text: &str) {
-        let beside = self.0.with_extension("new");
-        std::fs::write(&beside, text).unwrap();
-        std::fs::rename(&beside, &self.0).unwrap();
-    }
-}
-
-impl Drop for Nodes {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
-fn listed(count: usize, draining: Option<usize>) -> String {
-    let state = |k| if Some(k) == draining { "draining" } else { "ready" };
-    let node = |k| {
-        format!(
-            "[[node]]\naddress = \"{}\"\nzone = \"{}\"\nstate = \"{}\"\n",
-            address(k),
-            ["a", "b"][k % 2],
-            state(k)
-        )
-    };
-    (0..count).map(node).collect()
-}
-
-async fn start(config: Config, nodes: &Nodes) -> Conductor {
-    let source = FileSource::new(nodes.0.clone(), Duration::from_millis(10));
-    Conductor::start(config, Box::new(source)).await.unwrap()
-}
-
-/// A proxy that keeps its table as the protocol says and answers marks.
-struct Proxy {
-    frames: Framed<TcpStream, Frames<FromConductor, FromProxy>>,
-    epoch: u64,
-    held: BTreeSet<SocketAddr>,
-}
-
-impl Proxy {
-    async fn join(conductor: &Conductor, name: &str) -> Self {
-        let socket = TcpStream::connect(conductor.address()).await.unwrap();
-        let mut frames = Framed::new(socket, Frames::new(1 << 20));
-        frames.send(hello(name, "a")).await.unwrap();
-        Self { frames, epoch: 0, held: BTreeSet::new() }
-    }
-
-    /// The next frame, or none at the stream's end.
-    async fn next(&mut self) -> Option<from_conductor::Kind> {
-        let frame = timeout(LONG, self.frames.next()).await.expect("a frame in time")?.ok()?;
-        self.epoch = frame.epoch;
-        if let Some(from_conductor::Kind::Order(order)) = &frame.kind {
-            if let Some(table) = &order.table {
-                self.held = table.lines.iter().map(|l| address_of(&l.server).unwrap()).collect();
-            }
-            for line in &order.lines {
-                let server = address_of(&line.server).unwrap();
-                if line.weight > 0.0 {
-                    self.held.insert(server)
-                } else {
-                    self.held.remove(&server)
-                };
-            }
-            if let Some(mark) = order.mark {
-                let applied = from_proxy::Kind::Applied(v1::Applied { mark, took_us: 0 });
-                let _ = self.frames.send(FromProxy::new(self.epoch, frame.sequence, applied)).await;
-            }
-        }
-        frame.kind
-    }
-
-    async fn until(&mut self, held: impl Fn(&BTreeSet<SocketAddr>) -> bool) {
-        while !held(&self.held) {
-            assert!(self.next().await.is_some(), "the stream ended");
-        }
-    }
-
-    /// The reason of the goodbye that ends the stream.
-    async fn end(&mut self) -> Option<v1::Reason> {
-        let mut reason = None;
-        while let Some(kind) = self.next().await {
-            if let from_conductor::Kind::Goodbye(goodbye) = kind {
-                reason = Some(goodbye.reason());
-            }
-        }
-        reason
-    }
-}
 
 #[tokio::test]
 async fn a_drain_in_the_file_reaches_the_proxy_and_a_broken_file_changes_nothing() {
