Stop the whole conductor, with a word to its proxies, when a task it needs has died

Seen: a source that returned or panicked after its first list left the conductor running by that list, unnoticed for ever; ended() waited on. Ruled out: the module (it asks on every 4 s only while an ask is unanswered); the log (a task's panic went to standard error without a name). At fault: service/mod.rs, start: source, prober, doors, status page and audit were spawned and looked at only when stopping; cli run.rs dropped the conductor without a goodbye when it had failed. Change: each needed task has a guard: its end before the stop, by a panic too, is logged (task_failed) and stops the conductor; ended() names the task; the daemon says goodbye and exits with code 1.

--- a/crates/stepspur-cli/src/run.rs
+++ b/crates/stepspur-cli/src/run.rs
@@ -16,13 +16,14 @@
     let mut conductor = Conductor::start(config, source).await?;
     let (listening, status, epoch) = (conductor.address(), conductor.status_address(), conductor.epoch());
     println!("{}", serde_json::to_string(&Announcement { listening, status, epoch })?);
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
-        end = conductor.ended() => end.context("the conductor ended by itself")?,
-    }
+    let end = tokio::select! {
+        _ = interrupt.recv() => Ok(()),
+        _ = terminate.recv() => Ok(()),
+        end = conductor.ended() => end.context("the conductor ended by itself"),
+    };
+    // However it ends, proxies are told.
     conductor.stop().await;
-    Ok(End::Well)
+    end.map(|()| End::Well)
 }
 
 pub async fn status(address: SocketAddr, json: bool) -> anyhow::Result<End> {
--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -15,7 +15,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime};
 
 use stepspur::interface::Micros;
@@ -62,10 +62,11 @@
     },
 }
 
-/// A conductor's task has failed: its decisions have panicked.
-#[derive(Debug, thiserror::Error)]
-#[error("the conductor's task failed: {0}")]
-pub struct Failed(#[from] tokio::task::JoinError);
+/// One of a conductor's tasks has panicked, or ended by itself. The others were stopped with it, as a conductor
+/// without its list, its door or its probes would go on half alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the conductor's {0} failed")]
+pub struct Failed(&'static str);
 
 /// A running conductor. Dropping it stops it without waiting; [`Conductor::stop`] waits.
 #[derive(Debug)]
@@ -78,6 +79,7 @@
     kill: CancellationToken,
     tasks: TaskTracker,
     cores: JoinSet<()>,
+    failed: Arc<OnceLock<Failed>>,
     inbox: mpsc::Sender<Inbox>,
     grace: Duration,
 }
@@ -136,14 +138,16 @@
         let clock = Clock::start();
         let epoch = clock.now();
         let (stop, kill, tasks) = (CancellationToken::new(), CancellationToken::new(), TaskTracker::new());
+        let failed = Arc::new(OnceLock::new());
+        let needed = |name| Needed { name, stop: stop.clone(), failed: Arc::clone(&failed) };
         let identity = match &config.identity {
             None => None,
             Some(set) => {
                 let failed = |cause| StartError::Audit { path: set.audit.clone(), cause };
                 let (audit, write) = Audit::open(&set.audit).map_err(failed)?;
                 let identity = Identity::start(set.clone(), audit)?;
-                tasks.spawn(write);
-                tasks.spawn(Arc::clone(&identity).watch(stop.clone()));
+                tasks.spawn(needed("audit log").task(write));
+                tasks.spawn(needed("watch of keys").task(Arc::clone(&identity).watch(stop.clone())));
                 Some(identity)
             }
         };
@@ -154,9 +158,10 @@
             let (probe, probes) = mpsc::channel(PROBES);
             let engine = Engine::new(config.clone(), epoch, epoch, clock.now());
             let core = Core::new(engine, clock, inputs, ask, probe, stop.clone());
-            cores.spawn(tasks.track_future(core.run()));
+            cores.spawn(tasks.track_future(needed("engine").task(core.run())));
             let (news, mut told) = mpsc::channel(16);
-            tasks.spawn(source.run(Feed { asks, news: News(news), stop: stop.clone() }));
+            let feed = Feed { asks, news: News(news), stop: stop.clone() };
+            tasks.spawn(needed("source").task(source.run(feed)));
             let to_core = inbox.clone();
             tasks.spawn(async move {
                 while let Some(input) = told.recv().await {
@@ -165,7 +170,7 @@
                     }
                 }
             });
-            tasks.spawn(prober::run(config, probes, inbox.clone(), stop.clone()));
+            tasks.spawn(needed("prober").task(prober::run(config, probes, inbox.clone(), stop.clone())));
             inbox
         };
         let own = identity.as_ref().map_or("", |i| i.tenant()).to_owned();
@@ -183,10 +188,11 @@
             let listener = listen(address, 128)?;
             operators = Some(bound(&listener, address)?);
             let (identity, tenants) = (Arc::clone(identity), Arc::clone(&tenants));
-            tasks.spawn(operator::run(listener, identity, tenants, tasks.clone(), stop.clone()));
+            let run = operator::run(listener, identity, tenants, tasks.clone(), stop.clone());
+            tasks.spawn(needed("operators' door").task(run));
         }
         if let Some(listener) = status {
-            tasks.spawn(status::run(listener, inbox.clone(), stop.clone()));
+            tasks.spawn(needed("status page").task(status::run(listener, inbox.clone(), stop.clone())));
         }
         let grace = config.listen.write_timeout.min(Duration::from_secs(2));
         let accept = Accept {
@@ -198,10 +204,10 @@
             kill: kill.clone(),
             tasks: tasks.clone(),
         };
-        tasks.spawn(accept.run(listener));
+        tasks.spawn(needed("proxies' door").task(accept.run(listener)));
         tracing::info!(event = "started", %address, epoch);
         let status = status_address;
-        Ok(Self { address, status, operators, epoch, stop, kill, tasks, cores, inbox, grace })
+        Ok(Self { address, status, operators, epoch, stop, kill, tasks, cores, failed, inbox, grace })
     }
 
     /// Where proxies dial in.
@@ -229,15 +235,13 @@
         stats(&self.inbox).await
     }
 
-    /// Waits until a tenant's own task ends: it has failed, or was stopped.
+    /// Waits until a tenant's engine ends: the conductor was stopped, or one of its tasks has failed.
     ///
     /// # Errors
-    /// [`Failed`] if its decisions panicked.
+    /// [`Failed`] names the task.
     pub async fn ended(&mut self) -> Result<(), Failed> {
-        match self.cores.join_next().await {
-            Some(end) => Ok(end?),
-            None => Ok(()),
-        }
+        let _ = self.cores.join_next().await;
+        self.failed.get().map_or(Ok(()), |failed| Err(*failed))
     }
 
     /// Says goodbye on every stream, ends every task and waits for them; streams whose peer takes nothing are
@@ -261,6 +265,30 @@
     }
 }
 
+/// A task that a conductor cannot do without. If it ends before the conductor is stopped, by a panic too, that is
+/// logged and stops the conductor: proxies are told, and go to another.
+struct Needed {
+    name: &'static str,
+    stop: CancellationToken,
+    failed: Arc<OnceLock<Failed>>,
+}
+
+impl Needed {
+    async fn task(self, run: impl Future<Output = ()>) {
+        run.await;
+    }
+}
+
+impl Drop for Needed {
+    fn drop(&mut self) {
+        if !self.stop.is_cancelled() {
+            tracing::error!(event = "task_failed", task = self.name);
+            let _ = self.failed.set(Failed(self.name));
+            self.stop.cancel();
+        }
+    }
+}
+
 /// Listens with a long queue: after a restart all proxies dial at once, and with the usual 128 places each one
 /// that finds no place waits for seconds until its kernel tries again.
 fn listen(address: SocketAddr, queue: u32) -> Result<TcpListener, StartError> {
--- a/crates/stepspur-conductor/tests/faults_service.rs
+++ b/crates/stepspur-conductor/tests/faults_service.rs
@@ -208,7 +208,6 @@
 
 /// Without anybody who notices, the conductor would go on for months by its last list.
 #[tokio::test]
-#[should_panic] // Found; not mended yet.
 async fn a_source_that_dies_ends_the_conductor_cleanly() {
     for panics in [false, true] {
         let source = Dies { panics, told: Arc::default() };
