Spare young servers after a gap in reports, which may be late from then on

At fault: policy.rs, survey and usable: reports became 2 to 3 s late, and the heat before the jam stood until they showed it; young servers were let in meanwhile. Change: where no link was reported on within twice the reports' span and a second, young servers are held as in a hot fleet for ten seconds (RAMP) on.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,8 +33,9 @@
 /// not restarted and starts at a third of that span.
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
-/// Parts of its cold time in which a server gets nothing: at its start; young, while the fleet is hot; nearly
-/// warm, while it is jammed, as proxies avoid servers after a run of failures and a cold one gets their part.
+/// Parts of its cold time in which a server gets nothing: at its start; young, while the fleet is hot or may be,
+/// as there was a gap in reports and those that follow may be late; nearly warm, while it is jammed, as proxies
+/// avoid servers after a run of failures and a cold one gets their part.
 const HOLD_OFF: f64 = 0.12;
 const YOUNG: f64 = 0.65;
 const NEARLY: f64 = 0.9;
@@ -298,7 +299,8 @@
 
     fn usable(&self, server: &Server, zone: ZoneId) -> bool {
         let jammed = || self.zone_heat.get(&zone).copied().unwrap_or(0.0).max(self.heat) > JAM;
-        let spared = self.heat > HOT && self.colder(server, YOUNG) || self.colder(server, NEARLY) && jammed();
+        let hot = self.heat > HOT || self.now < self.blind_until;
+        let spared = hot && self.colder(server, YOUNG) || self.colder(server, NEARLY) && jammed();
         let fit = server.ready() && !server.down && self.now >= server.ramp_from && !spared;
         fit && server.links.get(&zone).is_none_or(|link| link.out_until.is_none())
     }
@@ -313,6 +315,8 @@
         let part = TICK as f64 / (2.0 * self.report_span.max(EASE_EVERY as f64));
         self.good_rate += part * (std::mem::take(&mut self.good) / (TICK as f64 * 1e-6) - self.good_rate);
         self.good_peak = (self.good_peak * (1.0 - part * GOOD_FADES)).max(self.good_rate);
+        let blind = self.median == 0.0 && self.heat > 0.0;
+        self.blind_until = if blind { self.now + RAMP } else { self.blind_until };
         self.heat = if self.median > 0.0 { self.median } else { self.heat };
         let least = if self.heat > COOL { MOST_PRESSURE } else { SURGE };
         let surge = (load / (OVERLOAD * self.load).max(1e-9)).max(1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -146,6 +146,8 @@
     pub(crate) median: f64,
     pub(crate) heat: f64,
     pub(crate) zone_heat: ByZone,
+    /// No report for long before this: what the fleet's heat is may be told late from now on.
+    pub(crate) blind_until: Micros,
     pub(crate) pressure: f64,
     /// Requests a second that come to our proxies, smoothed.
     pub(crate) load: f64,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -210,6 +210,22 @@
     assert!(site.weight(0, 12) > 0.0);
 }
 
+/// Found on two hunted days of overload on which reports became three seconds late: the jam showed when the young
+/// servers had already been pushed over.
+#[test]
+fn young_servers_are_spared_after_a_gap_in_reports() {
+    let mut site = Site::running(settings(), 12);
+    site.pass(4 * SECOND, |_| good(12, 200_000));
+    let young = ListEntry { born: site.now, ..entry(12, 0) };
+    site.feed(&[list(ListHow::Delta, &[young])]);
+    // No report for so long that the heat is not known; then some that show what was before.
+    site.pass(4 * SECOND, |_| Vec::new());
+    site.pass(3 * SECOND, |_| good(12, 200_000));
+    assert_eq!(site.weight(0, 12), 0.0);
+    site.pass(16 * SECOND, |_| good(12, 200_000));
+    assert!(site.weight(0, 12) > 0.9, "and warm in its time");
+}
+
 /// Found on a hunted release day of hobart-intake: one zone was jammed in a cool fleet.
 #[test]
 fn a_jammed_zone_spares_its_young_servers() {
