--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,9 +33,9 @@
 /// not restarted and starts at a third of that span.
 const START_SHARE: f64 = 0.1;
 const RAMP: Micros = 10_000_000;
-/// Parts of its cold time in which a server gets nothing: at its start; young, while the fleet is hot or may be,
-/// as there was a gap in reports and those that follow may be late; nearly warm, while it is jammed, as proxies
-/// avoid servers after a run of failures and a cold one gets their part.
+/// Parts of its cold time in which a server gets nothing: at its start; young, while the fleet is hot or may
+/// be, as there was a gap in reports and those that follow may be late; nearly warm, while it is jammed, as
+/// proxies avoid servers after a run of failures and a cold one gets their part.
 const HOLD_OFF: f64 = 0.12;
 const YOUNG: f64 = 0.65;
 const NEARLY: f64 = 0.9;
