--- a/crates/stepspur-conductor/src/config.rs
+++ b/crates/stepspur-conductor/src/config.rs
@@ -393,9 +393,6 @@
     /// Values of a load report, in order: `rif`, `q`, `busy`, `lat_ms`, `rate` or `fail_rate`.
     #[garde(length(max = 4), inner(custom(load_column)))]
     pub load_columns: Vec<String>,
-    /// True: proxies pass on load reports that came with answers.
-    #[garde(skip)]
-    pub load_in_answers: bool,
 }
 
 /// How servers are probed.
@@ -571,7 +568,6 @@
             gather: Duration::from_millis(250),
             intake_per_s: 10_000.0,
             load_columns: vec!["q".into(), "lat_ms".into()],
-            load_in_answers: false,
         }
     }
 }
@@ -616,10 +612,8 @@
             conductors: fleet.conductors,
             classes: fleet.classes.iter().map(class).collect(),
             list_on_request: true,
-            ask_every: 0,
             probing: self.probes.enabled,
             load_columns: self.reports.load_columns.clone(),
-            load_in_tallies: self.reports.load_in_answers,
             admit: match fleet.admit {
                 AdmitConfig::Share => Admit::Ratio,
                 AdmitConfig::Rate => Admit::Rps,
@@ -634,13 +628,11 @@
             connections_min: f64::from(fleet.connections_min),
             transit_max: micros(self.channel.transit_max),
             report_period: micros(self.reports.every),
-            unserved_max: micros(fleet.unserved_max),
             slices: 0,
             single_writer: false,
             keeps_writing: 0,
             in_flight_max: 0,
             cold: micros(fleet.cold),
-            drain_grace: micros(fleet.drain_grace),
             fall_multiple: fleet.fall_multiple,
             start_capacity: fleet.start_capacity,
             drain_binds_alone: fleet.drain_binds_alone,
--- a/crates/stepspur-wire/src/settings.rs
+++ b/crates/stepspur-wire/src/settings.rs
@@ -87,7 +87,6 @@
     #[serde(default)]
     single_writer: bool,
     slices: u16,
-    unserved_max_us: f64,
     update_window_us: f64,
 }
 
@@ -95,7 +94,6 @@
 struct RawFeedback {
     #[serde(default)]
     columns: Vec<String>,
-    how: String,
 }
 
 #[derive(Deserialize)]
@@ -106,10 +104,7 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct RawRules {
-    #[serde(default)]
-    ask_every_us: f64,
     cold_us: f64,
-    drain_grace_us: f64,
     fall_multiple: f64,
     start_capacity: f64,
     #[serde(default)]
@@ -127,10 +122,8 @@
         conductors: raw.balancers,
         classes: raw.request_classes.iter().enumerate().map(|(k, c)| class(c, own_zone(k))).collect(),
         list_on_request: matches!(raw.membership_mode, Mode::OnRequest),
-        ask_every: raw.rules.ask_every_us as u64,
         probing: raw.permissions.probing,
         load_columns: raw.feedback.columns,
-        load_in_tallies: raw.feedback.how == "piggyback",
         admit: match info.admit {
             RawAdmit::Ratio => Admit::Ratio,
             RawAdmit::Rps => Admit::Rps,
@@ -145,13 +138,11 @@
         connections_min: info.min_conn_cap,
         transit_max: info.push_delay_max_us as u64,
         report_period: info.interval_us as u64,
-        unserved_max: info.unserved_max_us as u64,
         slices: info.slices,
         single_writer: info.single_writer,
         keeps_writing: info.keeps_writing_us as u64,
         in_flight_max: info.in_flight_max_us as u64,
         cold: raw.rules.cold_us as u64,
-        drain_grace: raw.rules.drain_grace_us as u64,
         fall_multiple: raw.rules.fall_multiple,
         start_capacity: raw.rules.start_capacity,
         drain_binds_alone: raw.rules.drain_binds_alone,
--- a/crates/stepspur-wire/tests/codec.rs
+++ b/crates/stepspur-wire/tests/codec.rs
@@ -216,7 +216,7 @@
 fn settings_pass_over_unknown_keys() {
     let set = parse_settings(settings_json().as_bytes()).unwrap();
     assert_eq!((set.zones, set.my_zone, set.admit, set.messages_max), (2, ZoneId(1), Admit::Rps, 12));
-    assert!(set.list_on_request && set.probing && !set.load_in_tallies && !set.drain_binds_alone);
+    assert!(set.list_on_request && set.probing && !set.drain_binds_alone);
     assert_eq!(set.classes[0].effect, Effect::ReadLike);
     assert_eq!((set.classes[1].group, set.classes[1].window), (Group::Cell, 6_000_000));
     assert!(set.classes[1].own_zone);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -91,14 +91,10 @@
     pub classes: Vec<Class>,
     /// True: the list answers only when asked.
     pub list_on_request: bool,
-    /// Without subscription or call for this long, the instance counts as told.
-    pub ask_every: Micros,
     /// True: probes are allowed.
     pub probing: bool,
     /// Names of the values of a load report.
     pub load_columns: Vec<String>,
-    /// True: load reports come with tallies too.
-    pub load_in_tallies: bool,
     /// How levels are understood.
     pub admit: Admit,
     /// Number of proxies, over all instances.
@@ -119,8 +115,6 @@
     pub transit_max: Micros,
     /// Reports are gathered so often.
     pub report_period: Micros,
-    /// How long a joined proxy may lack a line.
-    pub unserved_max: Micros,
     /// Number of slices; 0: none.
     pub slices: u16,
     /// True: a slice has one owner at a time.
@@ -131,8 +125,6 @@
     pub in_flight_max: Micros,
     /// A server that has started is warm after this at the latest.
     pub cold: Micros,
-    /// Grace of the rules on draining and on cold servers.
-    pub drain_grace: Micros,
     /// A cold server falls over at this many times its present capacity.
     pub fall_multiple: f64,
     /// A server starts at this share of its capacity or more.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -2,13 +2,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::interface::{Micros, ProxyId};
+use crate::interface::ProxyId;
 
 /// A reply whose messages carry a mark.
 #[derive(Clone, Debug, Default)]
 struct Marked {
     mark: u16,
-    at: Micros,
     /// Lines by proxy that may still wait.
     lines: BTreeMap<ProxyId, f64>,
 }
@@ -24,8 +23,8 @@
 
 impl Ledger {
     /// A new reply begins.
-    pub(crate) fn begin(&mut self, now: Micros) {
-        (self.current.at, self.current.lines) = (now, BTreeMap::new());
+    pub(crate) fn begin(&mut self) {
+        self.current.lines = BTreeMap::new();
     }
 
     /// This reply writes a proxy so many lines.
@@ -63,11 +62,6 @@
         self.waiting
     }
 
-    /// When the oldest reply was ordered that still waits for answers.
-    pub(crate) fn oldest(&self) -> Option<Micros> {
-        self.sent.front().map(|m| m.at)
-    }
-
     fn tidy(&mut self) {
         while self.sent.front().is_some_and(|m| m.lines.is_empty()) {
             self.sent.pop_front();
@@ -88,12 +82,12 @@
     fn only_answers_clear_the_queue() {
         let mut ledger = Ledger::default();
         for _ in 0..3 {
-            ledger.begin(0);
+            ledger.begin();
             (0..4).for_each(|p| ledger.charge(ProxyId(p), 10.0));
             assert!(ledger.seal().is_some());
         }
         assert_eq!(ledger.waiting(), 120.0);
-        ledger.begin(60_000_000);
+        ledger.begin();
         assert_eq!((ledger.seal(), ledger.waiting()), (None, 120.0));
         ledger.applied(ProxyId(1), 2);
         assert_eq!(ledger.waiting(), 70.0, "all before the mark, and this message");
@@ -103,6 +97,6 @@
         assert_eq!(ledger.waiting(), 50.0);
         ledger.applied(ProxyId(0), 77);
         [0, 1, 2].iter().for_each(|p| ledger.applied(ProxyId(*p), 3));
-        assert_eq!((ledger.waiting(), ledger.oldest()), (0.0, None));
+        assert_eq!(ledger.waiting(), 0.0);
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -107,13 +107,12 @@
 const STEP: f64 = 0.08;
 const CUT: f64 = 0.75;
 /// Urgency of a change: the part of the channel's and the message limit that it may use. Ordinary ones wait
-/// for a turn, use `PACE` of the channel, nothing while marks are unanswered for `LAG` and a message's way.
+/// for a turn and use `PACE` of the channel.
 const CALM: f64 = 0.5;
 const FAULT: f64 = 0.75;
 const DRAIN: f64 = 0.95;
 const TURN: Micros = 500_000;
 const PACE: f64 = 0.25;
-const LAG: Micros = 1_000_000;
 /// Spans before discovery is asked again: after a failure, doubling; without an answer the longest.
 const ASK_AGAIN: Micros = 500_000;
 const ASK_MAX: Micros = 4_000_000;
@@ -135,7 +134,7 @@
     /// news of the list and joins are acted on at once.
     pub fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
         self.now = now;
-        self.ledger.begin(now);
+        self.ledger.begin();
         events.iter().for_each(|event| self.learn(event));
         if self.ask_at.is_some_and(|at| now >= at) {
             self.out.push(Action::Track);
@@ -715,8 +714,7 @@
     /// Channel ledger: lines waiting and messages a proxy, with a reserve for withdrawals and drains.
     fn may_send(&self, urgency: f64, sent_at: Micros, to: &BTreeSet<ProxyId>, lines: usize) -> bool {
         let cost = to.len() as f64 * (lines as f64 + self.set.message_head + 1.0);
-        let slow = self.ledger.oldest().is_some_and(|at| self.now > at + self.set.transit_max + LAG);
-        let room = self.set.pending_max * if slow && urgency <= CALM { 0.0 } else { urgency };
+        let room = self.set.pending_max * urgency;
         let since = self.now.saturating_sub(self.set.message_window);
         let written = |p: &ProxyId| self.proxies[p].messages.iter().filter(|at| **at >= since).count() as u32;
         let limit = (f64::from(self.set.messages_max) * urgency).max(1.0) as u32;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -36,9 +36,7 @@
         message_window: 10 * SECOND,
         transit_max: 500_000,
         report_period: SECOND,
-        unserved_max: 2 * SECOND,
         cold: 16 * SECOND,
-        drain_grace: 2 * SECOND,
         fall_multiple: 3.0,
         start_capacity: 0.3,
         ..Settings::default()
