Reckon starts by the machine's clock as it is now, not as it was at the start

Seen: the machine's clock was set back by 500 s while the conductor ran; a server that restarted then counted as started 500 s ago and got its whole weight cold (1.0 of 1.0). Ruled out: the list (its start was right by the machine's clock); the engine's time (it must only go forward). At fault: service/mod.rs, Clock: taken from the machine once; engine/mod.rs, take_list compared it with later starts. Change: with each list the engine is told what the machine's clock shows (Input::Wall) and reckons new starts by the difference; starts known already stay.

--- a/crates/stepspur-conductor/src/config.rs
+++ b/crates/stepspur-conductor/src/config.rs
@@ -26,7 +26,7 @@
     pub listen: Listen,
     /// How orders leave.
     #[serde(default)]
-    #[garde(dive)]
+    #[garde(dive, custom(holds_a_table(&self.fleet)))]
     pub channel: Channel,
     /// How reports come in.
     #[serde(default)]
@@ -146,6 +146,18 @@
     64
 }
 
+/// A channel that holds no table would leave every proxy without one, for ever.
+fn holds_a_table(fleet: &Fleet) -> impl FnOnce(&Channel, &()) -> garde::Result + '_ {
+    move |channel, ()| {
+        // Two messages: the head, the table, a line, the levels, the mark.
+        let least = 2.0 * (channel.message_head + fleet.classes.len() as f64 + 3.0);
+        if channel.waiting_max >= least {
+            return Ok(());
+        }
+        Err(garde::Error::new(format!("`waiting_max` must be {least} or more: two tables of one server")))
+    }
+}
+
 fn known_or_plain(listen: &Listen) -> impl FnOnce(&Option<Identity>, &()) -> garde::Result + '_ {
     move |identity, ()| match identity.is_some() || listen.plain_on_loopback {
         true => Ok(()),
--- a/crates/stepspur-conductor/src/engine/mod.rs
+++ b/crates/stepspur-conductor/src/engine/mod.rs
@@ -62,6 +62,12 @@
         /// The servers that it names.
         entries: Vec<NodeEntry>,
     },
+    /// What the machine's clock shows. Starts are told by such clocks, and it may have been set since the engine's
+    /// own time, which only goes forward, was taken from it.
+    Wall {
+        /// Microseconds since 1970.
+        unix: Micros,
+    },
     /// The result of a probe.
     Probed {
         /// The server.
@@ -297,6 +303,8 @@
     intake: Intake,
     marks: Marks,
     swept_at: Micros,
+    /// How far the engine's time is ahead of the machine's clock.
+    clock_off: i64,
     turned_at: Micros,
     forgives_until: Micros,
     out: VecDeque<Output>,
@@ -307,8 +315,9 @@
 #[derive(Clone, Debug)]
 struct Listed {
     entry: NodeEntry,
-    /// Its last start, or when that was first told if it lay ahead.
+    /// Its last start by the engine's time, or when that was first told if it lay ahead.
     born: Micros,
+    ahead: bool,
     gone_at: Option<Micros>,
 }
 
@@ -320,7 +329,7 @@
 
     /// True: a start before the one that is known. One that lay ahead was wrong, and may be corrected.
     fn is_older(&self, started: Micros) -> bool {
-        started < self.born && self.born == self.entry.started && !self.is_same_start(started)
+        started < self.entry.started && !self.ahead && !self.is_same_start(started)
     }
 }
 
@@ -365,6 +374,7 @@
             intake: Intake::new(config.reports.intake_per_s, micros(config.reports.gather), now),
             marks: Marks::default(),
             swept_at: now,
+            clock_off: 0,
             turned_at: now,
             forgives_until: 0,
             out: VecDeque::new(),
@@ -377,6 +387,7 @@
     pub fn handle(&mut self, now: Micros, input: Input) {
         match input {
             Input::List { how, entries } => self.take_list(now, how, entries),
+            Input::Wall { unix } => self.clock_off = now as i64 - unix as i64,
             Input::Probed { server, outcome, latency, load } => {
                 let Some(server) = self.ids.get(server).filter(|id| self.servers.contains_key(id)) else {
                     return;
@@ -615,10 +626,13 @@
             named.insert(server);
             let known = self.servers.get(&server).filter(|k| k.is_same_start(entry.started));
             // A start that lies ahead is a clock that goes wrong: it started when it was first told at the latest.
-            let born = known.map_or(entry.started.min(now), |k| k.born);
+            let by_own_clock =
+                if entry.started > 0 { entry.started.saturating_add_signed(self.clock_off) } else { 0 };
+            let (born, ahead) =
+                known.map_or((by_own_clock.min(now), by_own_clock > now), |k| (k.born, k.ahead));
             let started = known.map_or(entry.started, |k| k.entry.started);
             let gone_at = (entry.state == ListState::Gone).then_some(now);
-            let listed = Listed { entry: NodeEntry { started, ..entry }, born, gone_at };
+            let listed = Listed { entry: NodeEntry { started, ..entry }, born, ahead, gone_at };
             told.push(self.told(server, &listed));
             self.servers.insert(server, listed);
         }
--- a/crates/stepspur-conductor/src/service/core.rs
+++ b/crates/stepspur-conductor/src/service/core.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Clock;
+use super::identity::wall;
 use crate::engine::{Engine, Input, Note, Operation, OperationError, Output, Stats, StreamId};
 use crate::source::Ask;
 
@@ -88,6 +89,9 @@
                         if let Input::Ended { stream } = &input {
                             self.peers.remove(stream);
                         }
+                        if matches!(input, Input::List { .. }) {
+                            self.engine.handle(now, Input::Wall { unix: wall() });
+                        }
                         self.engine.handle(now, input);
                     }
                     Inbox::Opened { stream, to, cut } => _ = self.peers.insert(stream, Peer { to, cut }),
