--- a/crates/stepspur-conductor/tests/engine.rs
+++ b/crates/stepspur-conductor/tests/engine.rs
@@ -22,6 +22,7 @@
     day.run(SECOND / 10);
     assert!(!day.names(1).contains(&address(2)));
     assert_eq!(day.engine.stats().marks, 0, "all marks were answered");
+    day.close();
 }
 
 /// All proxies join within 100 ms: each is bound, within the pace, and no more lines wait than may.
@@ -41,6 +42,7 @@
     assert!((0..600).all(|k| !day.names(k).is_empty()));
     let stats = day.engine.stats();
     assert!(stats.channel[1] <= 40_000.0 && stats.unbound == 0, "{stats:?}");
+    day.close();
 }
 
 #[test]
@@ -58,6 +60,7 @@
     day.engine.handle(day.now, Input::Ended { stream: StreamId(1) });
     day.run(SECOND);
     assert_eq!(day.engine.stats().joined, 1);
+    day.close();
 }
 
 /// Without the time limit one silent proxy would hold up the ordinary changes of all.
@@ -75,6 +78,7 @@
     day.run(10 * SECOND);
     assert_eq!(day.closed, [(StreamId(2), v1::Reason::Slow)]);
     assert_eq!((day.engine.stats().joined, day.engine.stats().marks), (2, 0));
+    day.close();
 }
 
 /// After a pause of its own the answers wait unread: without the guard all proxies would be cut off at once.
@@ -92,6 +96,7 @@
     day.answers = true;
     day.run(10 * SECOND);
     assert_eq!((day.closed.len(), day.engine.stats().joined), (0, 3));
+    day.close();
 }
 
 /// A proxy that rejoins may still answer orders of an epoch before: they clear nothing.
@@ -111,6 +116,7 @@
     day.answer(stream, mark, EPOCH);
     day.run(1000);
     assert_eq!(day.engine.stats().marks, 0);
+    day.close();
 }
 
 #[test]
@@ -202,6 +208,7 @@
     assert!(weight < 0.6, "and then a part: {weight}");
     day.run(30 * SECOND);
     assert!(day.rules.held(1)[&address(1)] > 0.9, "warm again");
+    day.close();
 }
 
 #[test]
--- a/crates/stepspur-conductor/tests/faults.rs
+++ b/crates/stepspur-conductor/tests/faults.rs
@@ -9,7 +9,7 @@
 use common::day::{Day, EPOCH, SECOND};
 use common::{address, all, config, hello, nodes, with_state};
 use stepspur::interface::{ListHow, ListState, ProbeOutcome};
-use stepspur_conductor::config::{Config, EffectConfig};
+use stepspur_conductor::config::{Config, EffectConfig, Source};
 use stepspur_conductor::engine::{Input, NodeEntry, Note, Operation, Output, StreamId};
 use stepspur_proto::{FromProxy, from_proxy, v1};
 
@@ -108,6 +108,26 @@
         assert!((1..5).all(|k| day.names(k).len() == 4));
     };
 
+    an_empty_list_that_is_allowed_is_believed_in_time({
+        let mut set = classes();
+        if let Source::File { doubt, .. } = &mut set.source {
+            doubt.empty_allowed = true;
+        }
+        set
+    }) |day| {
+        day.say(ListHow::Full, vec![]);
+        day.run(29 * SECOND);
+        assert!((1..5).all(|k| day.names(k).len() == 4), "not yet");
+        day.run(2 * SECOND);
+        day.say(ListHow::Full, vec![]);
+        day.rules.truth(day.now, &gone(0..8));
+        day.run(5 * SECOND);
+        assert!((1..5).all(|k| day.names(k).is_empty()));
+        day.list(ListHow::Full, nodes(8));
+        day.run(5 * SECOND);
+        assert!((1..5).all(|k| day.names(k).len() == 4), "and back");
+    };
+
     // Nonsense values.
     weights_that_cannot_be_leave_every_proxy_its_table(classes()) |day| {
         for weight in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e308, 1e-300] {
@@ -267,6 +287,28 @@
         day.run(20 * SECOND);
         assert!(day.rules.held(1)[&address(0)] > 0.9);
     };
+    reports_that_stay_away_let_no_young_server_in(classes()) |day| {
+        let report = |day: &mut Day| {
+            for stream in 1..5 {
+                let met = day.names(stream).into_iter().map(|server| v1::Met {
+                    server: Some(server.into()),
+                    total: 20,
+                    latency_us: 200_000,
+                    ..Default::default()
+                });
+                let report = v1::Report { period_us: SECOND, met: met.collect(), ..Default::default() };
+                day.frame(stream, FromProxy::new(EPOCH, 0, from_proxy::Kind::Report(report)));
+            }
+            day.run(SECOND);
+        };
+        (0..5).for_each(|_| report(day));
+        day.list(ListHow::Delta, vec![restarted(0, day.now)]);
+        day.run(4 * SECOND);
+        (0..2).for_each(|_| report(day));
+        assert!(!day.names(1).contains(&address(0)), "what comes after a gap may be late");
+        (0..10).for_each(|_| report(day));
+        assert!(day.names(1).contains(&address(0)));
+    };
     events_that_come_twice_count_once(classes()) |day| {
         let restart = vec![restarted(0, day.now)];
         for _ in 0..12 {
