--- a/crates/stepspur-conductor/tests/faults.rs
+++ b/crates/stepspur-conductor/tests/faults.rs
@@ -63,6 +63,19 @@
     set
 }
 
+/// A channel that carries a crowd's tables in a second, and not all at once.
+fn waiting() -> Config {
+    let mut set = slow();
+    set.channel.lines_per_s *= 3.0;
+    set
+}
+
+/// Proxies join at once: most have their tables ordered, the rest wait for room in the channel.
+fn tables_wait(day: &mut Day) {
+    (5..30).for_each(|k| day.join(k, &format!("p{k}"), "a"));
+    day.run(SECOND / 100);
+}
+
 /// A test for each: it starts with a running day of these settings and ends with the five rules.
 macro_rules! faults {
     ($($(#[$meta:meta])* $name:ident($set:expr) $body:expr;)*) => {
@@ -362,26 +375,16 @@
         day.run(4 * SECOND);
         assert!(day.names(1).contains(&server), "and back");
     };
-    a_drain_and_its_mask_fit_the_channel_while_tables_wait({
-        let mut set = slow();
-        set.channel.lines_per_s *= 3.0;
-        set
-    }) |day| {
+    a_drain_and_its_mask_fit_the_channel_while_tables_wait(waiting()) |day| {
+        tables_wait(day);
         // Most have their tables ordered, the rest wait for room: both must hear that a server of theirs is gone.
-        (5..30).for_each(|k| day.join(k, &format!("p{k}"), "a"));
-        day.run(SECOND / 100);
         day.list(ListHow::Delta, gone([2]));
         day.run(5 * SECOND);
         assert!((1..30).all(|k| !day.names(k).contains(&address(2))));
     };
-    a_server_masked_when_it_went_is_forgotten_too({
-        let mut set = slow();
-        set.channel.lines_per_s *= 3.0;
-        set
-    }) |day| {
+    a_server_masked_when_it_went_is_forgotten_too(waiting()) |day| {
+        tables_wait(day);
         // A proxy waits for its table while the server goes: it is masked for those who wait.
-        (5..30).for_each(|k| day.join(k, &format!("p{k}"), "a"));
-        day.run(SECOND / 100);
         day.list(ListHow::Delta, gone([3]));
         day.run(SECOND);
         assert!(day.engine.stats().withdrawn > 0, "masked");
--- a/crates/stepspur-conductor/tests/faults_service.rs
+++ b/crates/stepspur-conductor/tests/faults_service.rs
@@ -40,6 +40,16 @@
     }
 }
 
+/// Waits until so many streams are joined.
+async fn joined(conductor: &Conductor, many: usize) {
+    let wait = async {
+        while conductor.stats().await.unwrap().joined != many {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(LONG, wait).await.expect("the others have left");
+}
+
 /// A writer that takes its time: the file is cut at an entry's end at every look. A reader that takes it for a list
 /// believes a loss under the doubt's limit.
 #[tokio::test]
@@ -269,12 +279,7 @@
             }
         }
     }
-    let alone = async {
-        while conductor.stats().await.unwrap().joined != 1 {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    meanwhile(&mut good, timeout(LONG, alone)).await.expect("only the good one is joined");
+    meanwhile(&mut good, joined(&conductor, 1)).await;
     for mut socket in kept {
         assert_eq!(timeout(LONG, socket.read(&mut [0; 9])).await.unwrap().unwrap_or(0), 0, "cut off");
     }
@@ -314,12 +319,7 @@
         let mut bytes = vec![0; 1000];
         socket.read_exact(&mut bytes).await.unwrap();
         if stalls {
-            let gone = async {
-                while conductor.stats().await.unwrap().joined > 0 {
-                    tokio::time::sleep(Duration::from_millis(10)).await;
-                }
-            };
-            timeout(LONG, gone).await.expect("the write times out, or the silence does");
+            joined(&conductor, 0).await;
             let _ = timeout(LONG, socket.read_to_end(&mut bytes)).await.unwrap();
             let mut rest = &bytes[..];
             while rest.len() >= 4 {
@@ -348,12 +348,7 @@
         }
     }
     file.write(&listed(8, Some(0)));
-    let alone = async {
-        while conductor.stats().await.unwrap().joined != 1 {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    meanwhile(&mut good, timeout(LONG, alone)).await.expect("only the good one is joined");
+    meanwhile(&mut good, joined(&conductor, 1)).await;
     good.until(|held| held.len() == 3 && !held.contains(&address(0))).await;
     good.settle().await;
     close(conductor, rules).await;
