--- a/crates/stepspur-cli/src/main.rs
+++ b/crates/stepspur-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod keys;
 mod model_bench;
+mod platform;
 mod play;
 mod run;
 mod settings;
@@ -35,8 +36,15 @@
 enum Command {
     /// Run a conductor until SIGINT or SIGTERM; one line of JSON on standard output says where it listens.
     Run {
-        #[command(flatten)]
-        settings: SettingsArgs,
+        /// The settings file (TOML).
+        #[arg(long, required_unless_present = "platform")]
+        config: Option<PathBuf>,
+        /// One setting, over the file and the environment: `listen.address=127.0.0.1:7500`.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        /// Serve the users' platform, as `LB_CONFIG` and the other variables of its environment say.
+        #[arg(long, conflicts_with_all = ["config", "set"])]
+        platform: bool,
         #[command(flatten)]
         logs: Logs,
     },
@@ -161,7 +169,12 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    // The platform gives a conductor part of a core: more threads would cost memory and bring nothing.
+    let mut builder = match cli.command {
+        Command::Run { platform: true, .. } => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("stepspur: no runtime: {error}");
@@ -177,9 +190,14 @@
 
 async fn dispatch(command: Command) -> anyhow::Result<End> {
     match command {
-        Command::Run { settings, logs } => {
+        Command::Run { platform: true, logs, .. } => {
+            start_logs(&logs)?;
+            platform::run().await
+        }
+        Command::Run { config, set, logs, .. } => {
             start_logs(&logs)?;
-            match settings::load(&settings.config, &settings.set) {
+            // `clap` asks for one of the two.
+            match settings::load(&config.unwrap_or_default(), &set) {
                 Ok(config) => run::run(config).await,
                 Err(faults) => Ok(settings::show(&faults, false)),
             }
--- a/crates/stepspur-conductor/src/engine/ids.rs
+++ b/crates/stepspur-conductor/src/engine/ids.rs
@@ -66,8 +66,11 @@
         Ok(id)
     }
 
-    /// Its stream has ended.
+    /// Its stream has ended. One whose number its protocol gives has no name here, and keeps it.
     pub(crate) fn release(&mut self, id: ProxyId, now: Micros) {
+        if !self.names.contains_key(&id) {
+            return;
+        }
         self.left_at.insert(id, now);
         self.left.insert((now, id));
     }
@@ -82,15 +85,59 @@
 }
 
 /// Servers' ids. IPv4 addresses are their own id. IPv6 addresses get a number in the range of ids whose first
-/// byte is 0, which no IPv4 server has.
+/// byte is 0, which no IPv4 server has. Where a list names servers, the name alone tells the id.
 #[derive(Debug, Default)]
-pub(crate) struct ServerIds {
+pub struct ServerIds {
     v6: BTreeMap<SocketAddrV6, ServerId>,
     back: BTreeMap<ServerId, SocketAddrV6>,
     next: u64,
+    named: BTreeMap<ServerId, Named>,
+    at: BTreeMap<SocketAddr, ServerId>,
+}
+
+/// A server that a list names.
+#[derive(Debug)]
+struct Named {
+    name: String,
+    address: SocketAddr,
+}
+
+/// The id of a server that lists name so: the same at every conductor and after every start (FNV-1a, 64 bits
+/// folded to 48).
+pub fn named_id(name: &str) -> ServerId {
+    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    let [_, _, id @ ..] = (hash ^ hash >> 48).to_be_bytes();
+    ServerId(id)
 }
 
 impl ServerIds {
+    /// The id of a server that is listed by name; none if another name has it. Its address may change.
+    pub(crate) fn intern_named(&mut self, name: &str, address: SocketAddr) -> Option<ServerId> {
+        let id = named_id(name);
+        if let Some(known) = self.named.get_mut(&id) {
+            if known.name != name {
+                return None;
+            }
+            if known.address != address {
+                if self.at.get(&known.address) == Some(&id) {
+                    self.at.remove(&known.address);
+                }
+                known.address = address;
+            }
+        } else {
+            self.named.insert(id, Named { name: name.to_owned(), address });
+        }
+        self.at.insert(address, id);
+        Some(id)
+    }
+
+    /// The name of a server, where lists name them.
+    pub fn name(&self, id: ServerId) -> Option<&str> {
+        self.named.get(&id).map(|named| named.name.as_str())
+    }
+
     /// The id of a server that is listed; none for an address that cannot be one (port 0, network 0).
     pub(crate) fn intern(&mut self, address: SocketAddr) -> Option<ServerId> {
         if let Some(id) = self.get(address) {
@@ -107,13 +154,20 @@
 
     /// The id of a server that was listed.
     pub(crate) fn get(&self, address: SocketAddr) -> Option<ServerId> {
+        if let Some(id) = self.at.get(&address) {
+            return Some(*id);
+        }
         match canonical_v6(address) {
             Some(v6) => self.v6.get(&v6).copied(),
             None => v4_id(address),
         }
     }
 
-    pub(crate) fn address(&self, id: ServerId) -> Option<SocketAddr> {
+    /// Where a server is.
+    pub fn address(&self, id: ServerId) -> Option<SocketAddr> {
+        if let Some(named) = self.named.get(&id) {
+            return Some(named.address);
+        }
         let [a, b, c, d, high, low] = id.0;
         if a > 0 {
             let port = u16::from_be_bytes([high, low]);
@@ -127,17 +181,24 @@
         if let Some(v6) = self.back.remove(&id) {
             self.v6.remove(&v6);
         }
+        if let Some(named) = self.named.remove(&id)
+            && self.at.get(&named.address) == Some(&id)
+        {
+            self.at.remove(&named.address);
+        }
     }
 
-    /// The module's text with addresses in place of ids.
+    /// The module's text with names or addresses in place of ids.
     pub(crate) fn readable(&self, text: &str) -> String {
         let (mut out, mut rest) = (String::with_capacity(text.len()), text);
         while let Some((before, after)) = rest.split_once("ServerId([") {
             let Some((bytes, after)) = after.split_once("])") else { break };
             let bytes: Vec<u8> = bytes.split(", ").filter_map(|b| b.parse().ok()).collect();
-            let address = <[u8; 6]>::try_from(bytes).ok().and_then(|b| self.address(ServerId(b)));
+            let id = <[u8; 6]>::try_from(bytes).ok().map(ServerId);
+            let name = id.and_then(|id| self.name(id)).map(str::to_owned);
+            let address = || id.and_then(|id| self.address(id)).map(|a| a.to_string());
             out.push_str(before);
-            out.push_str(&address.map_or("?".to_owned(), |a| a.to_string()));
+            out.push_str(&name.or_else(address).unwrap_or_else(|| "?".to_owned()));
             rest = after;
         }
         out + rest
--- a/crates/stepspur-conductor/src/engine/marks.rs
+++ b/crates/stepspur-conductor/src/engine/marks.rs
@@ -13,9 +13,18 @@
     oldest: BTreeSet<(Micros, ProxyId)>,
 }
 
+/// Marks that one proxy may owe: of one that is never cut off and answers nothing, only the newest are kept.
+const MOST: usize = 512;
+
 impl Marks {
     pub(crate) fn sent(&mut self, proxy: ProxyId, mark: u32, now: Micros) {
         let open = self.open.entry(proxy).or_default();
+        if open.len() == MOST
+            && let Some((_, at)) = open.pop_front()
+        {
+            self.oldest.remove(&(at, proxy));
+            self.oldest.extend(open.front().map(|(_, next)| (*next, proxy)));
+        }
         if open.is_empty() {
             self.oldest.insert((now, proxy));
         }
@@ -25,7 +34,8 @@
     /// The time since the order, if this proxy owed that answer. It answers all marks before, too.
     pub(crate) fn answered(&mut self, proxy: ProxyId, mark: u32, now: Micros) -> Option<Micros> {
         let open = self.open.get_mut(&proxy)?;
-        let place = open.iter().position(|(m, _)| *m == mark)?;
+        // A number comes again after some time: the newest of that number is meant by what comes now.
+        let place = open.iter().rposition(|(m, _)| *m == mark)?;
         let first = open.front()?.1;
         let (_, at) = open.drain(..=place).next_back()?;
         self.oldest.remove(&(first, proxy));
--- a/crates/stepspur-conductor/src/engine/mod.rs
+++ b/crates/stepspur-conductor/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod ids;
 mod intake;
 mod marks;
+mod order;
 mod tables;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -20,6 +21,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 use stepspur::Policy;
+use stepspur::interface::Settings;
 use stepspur::interface::{
     Action, ClassId, Event, ListEntry, ListHow, ListState, Micros, ProbeOutcome, ProxyId, ServerId, ZoneId,
 };
@@ -28,11 +30,14 @@
 use crate::config::{AdmitConfig, Config, micros};
 use channel::{Channel, Message};
 use doubt::{Doubter, Taken};
-use ids::{ProxyNumbers, ServerIds};
+use ids::ProxyNumbers;
 use intake::{Counts, Intake, Key};
 use marks::Marks;
 use tables::Tables;
 
+pub use ids::{ServerIds, named_id};
+pub use order::{Admitted, Dialect, Farewell, Framed, Level, Order, Stamp};
+
 /// A proxy's stream, by a number that is never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 pub struct StreamId(pub u64);
@@ -40,6 +45,8 @@
 /// A server as a list names it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NodeEntry {
+    /// Its name, where lists name servers: then that is what it is known by, and its address may change.
+    pub name: Option<String>,
     /// Its address.
     pub address: SocketAddr,
     /// The name of its zone.
@@ -86,6 +93,61 @@
         /// The frame.
         frame: FromProxy,
     },
+    /// A proxy whose protocol gives it its number has joined: its stream stands.
+    Joined {
+        /// The stream.
+        stream: StreamId,
+        /// The proxy's number, below the fleet's.
+        proxy: ProxyId,
+        /// Its zone, one of the fleet's.
+        zone: ZoneId,
+        /// Requests a second that it usually gets.
+        rate: f64,
+        /// True: it holds only its standing tables.
+        fresh: bool,
+    },
+    /// A proxy has applied what carried this mark.
+    Applied {
+        /// Its stream.
+        stream: StreamId,
+        /// The mark.
+        mark: u32,
+        /// From the order to its taking effect, if the protocol tells it.
+        latency: Option<Micros>,
+    },
+    /// What the joined proxies of a zone met at a server, summed elsewhere.
+    ZoneReport {
+        /// The server.
+        server: ServerId,
+        /// The zone.
+        zone: ZoneId,
+        /// Time over which it was counted.
+        period: Micros,
+        /// Tries, and those of them with no good answer.
+        tries: [u32; 2],
+        /// Mean time of the good ones.
+        latency: Micros,
+        /// Load report, empty if none.
+        load: Vec<f32>,
+    },
+    /// Requests of a class that came to a proxy, summed elsewhere.
+    Usage {
+        /// The proxy.
+        proxy: ProxyId,
+        /// The class.
+        class: ClassId,
+        /// Time over which it was counted.
+        period: Micros,
+        /// Requests that came, and those let in that got no answer.
+        requests: [u32; 2],
+    },
+    /// A message of a joined caller made no sense and was passed over.
+    Spoilt {
+        /// Who sent it.
+        by: String,
+        /// What was wrong.
+        what: String,
+    },
     /// A stream has ended.
     Ended {
         /// The stream.
@@ -214,8 +276,8 @@
     },
     /// Part of an entry of a list made no sense; what was known before stands, if anything.
     BadEntry {
-        /// The server.
-        server: SocketAddr,
+        /// The server: its name, or its address.
+        server: String,
         /// What was wrong.
         what: String,
     },
@@ -230,6 +292,13 @@
     ListFailed,
 }
 
+impl Note {
+    /// True: it tells of input that made no sense, of which there may be any amount.
+    pub fn is_about_nonsense(&self) -> bool {
+        matches!(self, Note::BadReport { .. } | Note::BadEntry { .. } | Note::Refused { .. })
+    }
+}
+
 /// A proxy whose stream stands.
 #[derive(Debug)]
 struct Session {
@@ -299,6 +368,7 @@
     held: BTreeMap<ServerId, ListState>,
     doubter: Doubter,
     tables: Tables,
+    dialect: Box<dyn Dialect>,
     channel: Channel,
     intake: Intake,
     marks: Marks,
@@ -351,12 +421,25 @@
     /// before; `config` must have no faults.
     pub fn new(config: Config, epoch: u64, seed: u64, now: Micros) -> Self {
         let settings = config.settings();
+        Self::with(config, settings, Box::new(Framed), epoch, seed, now)
+    }
+
+    /// One whose orders leave in this dialect, and whose decisions are told these settings of the fleet.
+    pub fn with(
+        config: Config,
+        settings: Settings,
+        dialect: Box<dyn Dialect>,
+        epoch: u64,
+        seed: u64,
+        now: Micros,
+    ) -> Self {
         let numbers = ProxyNumbers::new(config.listen.proxies_max, micros(config.listen.number_rest));
         let list = Event::List { how: ListHow::Cached, entries: [].into() };
         Self {
             epoch,
             sequence: 0,
-            tables: Tables::new(settings.admit),
+            tables: Tables::new(settings.admit, dialect.keeps_withdrawals()),
+            dialect,
             policy: Policy::new(settings, seed, now),
             batch: vec![list],
             decided_at: 0,
@@ -396,6 +479,40 @@
                 self.batch.push(Event::Probed { server, outcome, latency, load });
             }
             Input::Frame { stream, frame } => self.take_frame(now, stream, frame),
+            Input::Joined { stream, proxy, zone, rate, fresh } => {
+                if !self.closed.contains(&stream) && !self.by_stream.contains_key(&stream) {
+                    self.enter(now, stream, proxy, zone, rate, fresh);
+                }
+            }
+            Input::Applied { stream, mark, latency } => {
+                let proxy = self.by_stream.get(&stream).copied();
+                let owed = proxy.and_then(|proxy| Some((proxy, self.marks.answered(proxy, mark, now)?)));
+                match (owed, proxy) {
+                    (Some((proxy, since)), _) => {
+                        let latency = latency.unwrap_or(since);
+                        self.batch.push(Event::Applied { proxy, mark, latency });
+                    }
+                    (None, Some(proxy)) => self.bad_report(proxy, "a mark that it does not owe".to_owned()),
+                    (None, None) => {}
+                }
+            }
+            Input::ZoneReport { server, zone, period, tries: [total, errors], latency, load } => {
+                if self.servers.contains_key(&server) {
+                    let tally = Event::Tally { server, zone, period, total, errors, latency, load };
+                    self.batch.push(tally);
+                } else {
+                    self.stats.nonsense += 1;
+                }
+            }
+            Input::Usage { proxy, class, period, requests: [total, errors] } => {
+                if self.sessions.contains_key(&proxy) {
+                    self.batch.push(Event::Traffic { proxy, class, period, total, errors });
+                }
+            }
+            Input::Spoilt { by, what } => {
+                self.stats.nonsense += 1;
+                self.note(Note::BadReport { proxy: by, what });
+            }
             Input::Ended { stream } => {
                 self.closed.remove(&stream);
                 self.leave(now, stream);
@@ -419,7 +536,7 @@
         }
         let batch = (!self.batch.is_empty()).then(|| self.decided_at + micros(self.config.channel.batch));
         let alarm = self.alarms.first().map(|(at, _)| *at);
-        let mark = self.marks.oldest().map(|(at, _)| self.blamed_at(at));
+        let mark = self.marks.oldest().map(|(at, _)| self.blamed_at(at)).filter(|at| *at < Micros::MAX);
         let doubt = self.doubter.next_at();
         [batch, alarm, mark, doubt, self.channel.next_at(), self.intake.next_at()].into_iter().flatten().min()
     }
@@ -450,8 +567,7 @@
 
     /// The last frame for a stream when the conductor stops.
     pub fn goodbye(&self, reason: v1::Reason, detail: &str) -> Bytes {
-        let message = FromConductor::goodbye(self.epoch, self.sequence, reason, detail);
-        frame(&message, usize::MAX).unwrap_or_default()
+        self.dialect.farewell(self.stamp(), Farewell { reason, detail, retry_after: 0 })
     }
 
     /// Does what an operator orders.
@@ -495,7 +611,7 @@
     fn turn(&mut self, now: Micros) {
         // One that stood still itself has answers waiting that it has not read: it blames nobody for them.
         if now > self.turned_at + STOOD_STILL {
-            self.forgives_until = now + micros(self.config.channel.mark_timeout);
+            self.forgives_until = now.saturating_add(micros(self.config.channel.mark_timeout));
         }
         self.turned_at = now;
         while let Some((_, proxy)) = self.marks.oldest().filter(|(at, _)| now >= self.blamed_at(*at)) {
@@ -532,7 +648,7 @@
 
     /// When a proxy is cut off whose mark left at that time.
     fn blamed_at(&self, left: Micros) -> Micros {
-        (left + micros(self.config.channel.mark_timeout)).max(self.forgives_until)
+        left.saturating_add(micros(self.config.channel.mark_timeout)).max(self.forgives_until)
     }
 
     fn decide(&mut self, now: Micros) {
@@ -553,10 +669,14 @@
                 _ => {}
             }
         }
-        let orders = self.tables.apply(&actions, &self.ids, now);
+        let orders = self.tables.apply(&actions, now);
         self.order(now, orders);
     }
 
+    fn stamp(&self) -> Stamp {
+        Stamp { epoch: self.epoch, sequence: self.sequence }
+    }
+
     fn order(&mut self, now: Micros, orders: Vec<tables::Addressed>) {
         if orders.is_empty() {
             return;
@@ -571,9 +691,10 @@
     /// One frame, made once, for all who get the same order.
     fn send(&mut self, now: Micros, addressed: tables::Addressed) {
         let tables::Addressed { to, order } = addressed;
-        let (mark, lines) = (order.mark, order.cost() as f64 + self.config.channel.message_head);
-        let message = FromConductor::new(self.epoch, self.sequence, from_conductor::Kind::Order(order));
-        let frame = match frame(&message, self.config.listen.largest_frame) {
+        let (mark, lines) =
+            (order.mark.map(u32::from), order.cost() as f64 + self.config.channel.message_head);
+        let largest = self.config.listen.largest_frame;
+        let frame = match self.dialect.order(self.stamp(), &order, &self.ids, largest) {
             Ok(frame) => frame,
             Err(error) => {
                 let streams: Vec<_> = to.iter().filter_map(|p| Some(self.sessions.get(p)?.stream)).collect();
@@ -613,12 +734,12 @@
                 // It is named, though: what is known of it stands.
                 told.push(self.told(server, known));
                 named.insert(server);
-                self.bad_entry(entry.address, "it tells of an earlier start than is known".to_owned());
+                self.bad_entry(&entry, "it tells of an earlier start than is known".to_owned());
                 continue;
             }
             if how != ListHow::Delta && !named.insert(server) {
                 let further = known.is_some_and(|k| entry.state as u8 > k.entry.state as u8);
-                self.bad_entry(entry.address, "it is named twice: the state further on counts".to_owned());
+                self.bad_entry(&entry, "it is named twice: the state further on counts".to_owned());
                 if !further {
                     continue;
                 }
@@ -634,6 +755,9 @@
             let gone_at = (entry.state == ListState::Gone).then_some(now);
             let listed = Listed { entry: NodeEntry { started, ..entry }, born, ahead, gone_at };
             told.push(self.told(server, &listed));
+            if started > 0 || listed.entry.state != ListState::Ready {
+                self.tables.suspect(server);
+            }
             self.servers.insert(server, listed);
         }
         let how = match self.doubter.judge(how, &ready, &named, now) {
@@ -644,7 +768,8 @@
             }
         };
         if how != ListHow::Delta {
-            for (_, server) in self.servers.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            for (id, server) in self.servers.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                self.tables.suspect(*id);
                 server.entry.state = ListState::Gone;
                 server.gone_at.get_or_insert(now);
             }
@@ -655,23 +780,27 @@
     /// An entry as it can be used, with the server that it names: what makes no sense is noted, and what was known
     /// before stands in its place. None if there is nothing to stand in.
     fn sound(&mut self, mut entry: NodeEntry) -> Option<(ServerId, NodeEntry)> {
-        let address = entry.address;
-        let known = self.ids.get(address).and_then(|id| self.servers.get(&id)).map(|k| k.entry.clone());
+        let id = match &entry.name {
+            Some(name) => Some(named_id(name)),
+            None => self.ids.get(entry.address),
+        };
+        let known = id.and_then(|id| self.servers.get(&id)).map(|k| k.entry.clone());
         if self.zone(&entry.zone).is_none() {
-            let zone = std::mem::take(&mut entry.zone);
-            self.bad_entry(address, format!("`{zone}` is no zone of this fleet"));
+            self.bad_entry(&entry, format!("`{}` is no zone of this fleet", entry.zone));
             // A server is not gone for a zone that is misspelt, and its drain counts.
             entry.zone = known.as_ref()?.zone.clone();
         }
         if entry.weight != 0.0 && !WEIGHTS.contains(&entry.weight) {
             let [least, most] = [WEIGHTS.start(), WEIGHTS.end()];
-            let what = format!("a weight of {} is not between {least} and {most}", entry.weight);
-            self.bad_entry(address, what);
+            self.bad_entry(&entry, format!("a weight of {} is not between {least} and {most}", entry.weight));
             entry.weight = known.map_or(0.0, |k| k.weight);
         }
-        let server = self.ids.intern(address);
+        let server = match &entry.name {
+            Some(name) => self.ids.intern_named(name, entry.address),
+            None => self.ids.intern(entry.address),
+        };
         if server.is_none() {
-            self.bad_entry(address, "no server can have this address".to_owned());
+            self.bad_entry(&entry, "no server can have this name or address".to_owned());
         }
         Some((server?, entry))
     }
@@ -690,8 +819,9 @@
         ListEntry { server, born: listed.born, zone, state: held.unwrap_or(state), weight }
     }
 
-    fn bad_entry(&mut self, server: SocketAddr, what: String) {
+    fn bad_entry(&mut self, entry: &NodeEntry, what: String) {
         self.stats.nonsense += 1;
+        let server = entry.name.clone().unwrap_or_else(|| entry.address.to_string());
         self.note(Note::BadEntry { server, what });
     }
 
@@ -749,27 +879,13 @@
         let proxy = match self.numbers.claim(&hello.name, now) {
             Ok(proxy) => proxy,
             Err(full) => {
-                let mut last =
-                    FromConductor::goodbye(self.epoch, self.sequence, v1::Reason::Full, "no number is left");
-                if let Some(from_conductor::Kind::Goodbye(goodbye)) = &mut last.kind {
-                    goodbye.retry_after_us = full.retry_after;
-                }
-                return self.close(stream, v1::Reason::Full, "no number is left", &last);
+                let (reason, detail) = (v1::Reason::Full, "no number is left");
+                return self.close(stream, Farewell { reason, detail, retry_after: full.retry_after });
             }
         };
-        // The newer stream wins: the old one may be dead without our knowing.
-        if let Some(old) = self.sessions.get(&proxy).map(|s| s.stream) {
-            self.cut(now, old, v1::Reason::Replaced, "a newer stream has this name");
-            let _ = self.numbers.claim(&hello.name, now);
-        }
-        let zone = ZoneId(zone as u16);
-        self.by_stream.insert(stream, proxy);
-        self.sessions.insert(proxy, Session { stream, written: VecDeque::new() });
-        self.zone_of.insert(proxy, zone);
-        self.tables.join(proxy);
         let rate = if hello.usual_rate.is_finite() { hello.usual_rate.clamp(0.0, 1e6) } else { 0.0 };
-        self.batch.push(Event::Joined { proxy, zone, rate, fresh: hello.fresh });
-        self.note(Note::Joined { proxy: hello.name, stream });
+        self.enter(now, stream, proxy, ZoneId(zone as u16), rate, hello.fresh);
+        let _ = self.numbers.claim(&hello.name, now);
         let welcome = v1::Welcome {
             version: VERSION,
             capabilities: Vec::new(),
@@ -782,6 +898,19 @@
         self.answer(stream, from_conductor::Kind::Welcome(welcome));
     }
 
+    /// A proxy's stream stands. The newer stream wins: the old one may be dead without our knowing.
+    fn enter(&mut self, now: Micros, stream: StreamId, proxy: ProxyId, zone: ZoneId, rate: f64, fresh: bool) {
+        if let Some(old) = self.sessions.get(&proxy).map(|s| s.stream) {
+            self.cut(now, old, v1::Reason::Replaced, "a newer stream has this name");
+        }
+        self.by_stream.insert(stream, proxy);
+        self.sessions.insert(proxy, Session { stream, written: VecDeque::new() });
+        self.zone_of.insert(proxy, zone);
+        self.tables.join(proxy);
+        self.batch.push(Event::Joined { proxy, zone, rate, fresh });
+        self.note(Note::Joined { proxy: self.proxy_name(proxy), stream });
+    }
+
     /// A frame that needs no turn in the channel.
     fn answer(&mut self, stream: StreamId, kind: from_conductor::Kind) {
         let message = FromConductor::new(self.epoch, self.sequence, kind);
@@ -826,9 +955,17 @@
         }
     }
 
+    /// Its name, or its number where its protocol gives it.
+    fn proxy_name(&self, proxy: ProxyId) -> String {
+        match self.numbers.name(proxy) {
+            "" => proxy.0.to_string(),
+            name => name.to_owned(),
+        }
+    }
+
     fn bad_report(&mut self, proxy: ProxyId, what: String) {
         self.stats.nonsense += 1;
-        let proxy = self.numbers.name(proxy).to_owned();
+        let proxy = self.proxy_name(proxy);
         self.note(Note::BadReport { proxy, what });
     }
 
@@ -843,22 +980,22 @@
         self.tables.leave(proxy);
         self.numbers.release(proxy, now);
         self.batch.push(Event::Left { proxy });
-        self.note(Note::Left { proxy: self.numbers.name(proxy).to_owned(), stream });
+        self.note(Note::Left { proxy: self.proxy_name(proxy), stream });
     }
 
     fn cut(&mut self, now: Micros, stream: StreamId, reason: v1::Reason, detail: &str) {
         self.leave(now, stream);
-        let last = FromConductor::goodbye(self.epoch, self.sequence, reason, detail);
-        self.close(stream, reason, detail, &last);
+        self.close(stream, Farewell { reason, detail, retry_after: 0 });
     }
 
-    fn close(&mut self, stream: StreamId, reason: v1::Reason, detail: &str, last: &FromConductor) {
+    fn close(&mut self, stream: StreamId, farewell: Farewell<'_>) {
+        let Farewell { reason, detail, .. } = farewell;
         self.stats.refused += 1;
         self.closed.insert(stream);
         if self.closed.len() > self.config.listen.connections_max as usize {
             self.closed.pop_first();
         }
-        let frame = frame(last, usize::MAX).unwrap_or_default();
+        let frame = self.dialect.farewell(self.stamp(), farewell);
         self.out.push_back(Output::Close { stream, reason, frame });
         self.note(Note::Refused { stream, reason, detail: detail.to_owned() });
     }
@@ -871,6 +1008,7 @@
             self.servers.remove(&id);
             self.held.remove(&id);
             self.ids.forget(id);
+            self.tables.forget(id);
         }
     }
 
--- a/crates/stepspur-conductor/src/engine/tables.rs
+++ b/crates/stepspur-conductor/src/engine/tables.rs
@@ -1,12 +1,10 @@
 //! Tables as ordered, and what of a reply each proxy must be told.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use stepspur::interface::{Action, Admit, ClassId, ProxyId, Resend, ServerId, TableId};
-use stepspur_proto::v1;
 
-use super::ids::ServerIds;
+use super::order::{Admitted, Level, Order};
 
 /// A table.
 #[derive(Clone, Debug, Default)]
@@ -20,6 +18,8 @@
 #[derive(Debug, Default)]
 struct Changes {
     lines: BTreeMap<ServerId, f32>,
+    /// Of them, those that were not there before.
+    new: BTreeSet<ServerId>,
     levels: BTreeMap<ClassId, (Resend, f32)>,
 }
 
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 pub(crate) struct Addressed {
     pub to: Vec<ProxyId>,
-    pub order: v1::Order,
+    pub order: Order,
 }
 
 /// All tables, who is bound to which, and what is withdrawn.
@@ -38,14 +38,28 @@
     /// Joined, and bound to no table yet: they go by what they hold.
     unbound: BTreeSet<ProxyId>,
     withdrawn: BTreeSet<ServerId>,
+    /// Servers that have been out or restarted: where proxies keep withdrawals, one may still shut them out, on
+    /// another conductor's word or on this one's from before its start.
+    suspects: BTreeSet<ServerId>,
+    keeps_withdrawals: bool,
     admit: Admit,
     /// Shares that operators let in at most.
     caps: BTreeMap<ClassId, f32>,
 }
 
 impl Tables {
-    pub(crate) fn new(admit: Admit) -> Self {
-        Self { admit, ..Self::default() }
+    pub(crate) fn new(admit: Admit, keeps_withdrawals: bool) -> Self {
+        Self { admit, keeps_withdrawals, ..Self::default() }
+    }
+
+    /// A server has been out, or has restarted.
+    pub(crate) fn suspect(&mut self, server: ServerId) {
+        self.suspects.insert(server);
+    }
+
+    /// A server is forgotten.
+    pub(crate) fn forget(&mut self, server: ServerId) {
+        self.suspects.remove(&server);
     }
 
     pub(crate) fn join(&mut self, proxy: ProxyId) {
@@ -78,7 +92,7 @@
     }
 
     /// Applies a reply and gives the orders that it makes: one for each proxy concerned.
-    pub(crate) fn apply(&mut self, actions: &[Action], ids: &ServerIds, now: u64) -> Vec<Addressed> {
+    pub(crate) fn apply(&mut self, actions: &[Action], now: u64) -> Vec<Addressed> {
         let mut changes: BTreeMap<TableId, Changes> = BTreeMap::new();
         let mut bound: BTreeSet<ProxyId> = BTreeSet::new();
         let mut turned: BTreeMap<ServerId, bool> = BTreeMap::new();
@@ -87,11 +101,13 @@
             match action {
                 Action::Line { table, server, weight } => {
                     let lines = &mut self.tables.entry(*table).or_default().lines;
-                    match *weight > 0.0 {
-                        true => lines.insert(*server, *weight),
-                        false => lines.remove(server),
-                    };
-                    changes.entry(*table).or_default().lines.insert(*server, *weight);
+                    let change = changes.entry(*table).or_default();
+                    if *weight > 0.0 && lines.insert(*server, *weight).is_none() {
+                        change.new.insert(*server);
+                    } else if *weight <= 0.0 {
+                        lines.remove(server);
+                    }
+                    change.lines.insert(*server, *weight);
                 }
                 Action::Level { table, class, resend, level } => {
                     self.tables.entry(*table).or_default().levels.insert(*class, (*resend, *level));
@@ -113,7 +129,7 @@
                     };
                     turned.insert(*server, *out);
                 }
-                Action::Mark { mark: number } => mark = Some(u32::from(*number)),
+                Action::Mark { mark: number } => mark = Some(*number),
                 Action::Wake { .. } | Action::Probe { .. } => {}
                 Action::Track | Action::Lookup | Action::Log(_) => {}
             }
@@ -124,22 +140,21 @@
             let change = changes.get(id).unwrap_or(&none);
             let known: Vec<_> = table.users.difference(&bound).copied().collect();
             if !known.is_empty() {
-                orders.push(Addressed { to: known, order: self.change(table, change, &turned, ids) });
+                orders.push(Addressed { to: known, order: self.change(table, change, &turned) });
             }
             let new: Vec<_> = table.users.intersection(&bound).copied().collect();
             if !new.is_empty() {
-                let whole = v1::Order { table: Some(self.whole(*id, table, ids)), ..Default::default() };
-                orders.push(Addressed { to: new, order: whole });
+                orders.push(Addressed { to: new, order: self.whole(*id, table) });
             }
         }
         if !self.unbound.is_empty() {
-            let withdrawals = turned.iter().map(|(id, out)| self.withdrawal(*id, *out, ids)).collect();
+            let withdrawals = turned.iter().map(|(id, out)| (*id, *out)).collect();
             let to = self.unbound.iter().copied().collect();
-            orders.push(Addressed { to, order: v1::Order { withdrawals, ..Default::default() } });
+            orders.push(Addressed { to, order: Order { withdrawals, ..Default::default() } });
         }
         orders.retain(|o| o.order.cost() > 0);
         for Addressed { order, .. } in &mut orders {
-            (order.mark, order.decided_us) = (mark, now);
+            (order.mark, order.decided) = (mark, now);
         }
         orders
     }
@@ -154,67 +169,52 @@
         let used = self.tables.values().filter(|t| !t.users.is_empty());
         let order = |table: &Table| {
             let level = self.level(class, *table.levels.get(&class)?);
-            let order = v1::Order { levels: vec![level], decided_us: now, ..Default::default() };
+            let order = Order { levels: vec![level], decided: now, ..Default::default() };
             Some(Addressed { to: table.users.iter().copied().collect(), order })
         };
         used.filter_map(order).collect()
     }
 
-    fn change(
-        &self,
-        table: &Table,
-        change: &Changes,
-        turned: &BTreeMap<ServerId, bool>,
-        ids: &ServerIds,
-    ) -> v1::Order {
-        let lines = change.lines.iter().map(|(id, weight)| line(*id, *weight, ids));
+    fn change(&self, table: &Table, change: &Changes, turned: &BTreeMap<ServerId, bool>) -> Order {
+        let lines = change.lines.iter().map(|(id, weight)| (*id, *weight));
         let levels = change.levels.iter().map(|(id, level)| self.level(*id, *level));
         // A bound proxy has heard of the withdrawals that concern its table: a line that comes later brings its
         // own along.
-        let added = change.lines.iter().filter(|(id, weight)| **weight > 0.0 && self.withdrawn.contains(id));
-        let mut out: BTreeMap<ServerId, bool> = added.map(|(id, _)| (*id, true)).collect();
+        let added = change.lines.iter().filter(|(_, weight)| **weight > 0.0).map(|(id, _)| *id);
+        let settled = added.filter_map(|id| self.settled(id));
+        let mut out: BTreeMap<ServerId, bool> =
+            settled.filter(|(id, out)| *out || change.new.contains(id)).collect();
         out.extend(turned.iter().filter(|(id, _)| table.lines.contains_key(id)));
-        let withdrawals = out.iter().map(|(id, out)| self.withdrawal(*id, *out, ids)).collect();
-        v1::Order { lines: lines.collect(), levels: levels.collect(), withdrawals, ..Default::default() }
+        Order {
+            lines: lines.collect(),
+            levels: levels.collect(),
+            withdrawals: out.into_iter().collect(),
+            ..Default::default()
+        }
     }
 
-    fn whole(&self, id: TableId, table: &Table, ids: &ServerIds) -> v1::Table {
-        let out = table.lines.keys().filter(|id| self.withdrawn.contains(id));
-        v1::Table {
-            id: u32::from(id.0),
-            lines: table.lines.iter().map(|(id, weight)| line(*id, *weight, ids)).collect(),
+    fn whole(&self, id: TableId, table: &Table) -> Order {
+        Order {
+            whole: Some(id),
+            lines: table.lines.iter().map(|(id, weight)| (*id, *weight)).collect(),
             levels: table.levels.iter().map(|(id, level)| self.level(*id, *level)).collect(),
-            withdrawals: out.map(|id| self.withdrawal(*id, true, ids)).collect(),
+            withdrawals: table.lines.keys().filter_map(|id| self.settled(*id)).collect(),
+            ..Default::default()
         }
     }
 
-    fn withdrawal(&self, id: ServerId, out: bool, ids: &ServerIds) -> v1::Withdrawal {
-        v1::Withdrawal { server: server(id, ids), out }
+    /// What a line brings along: that its server is shut out, or that it no longer is.
+    fn settled(&self, id: ServerId) -> Option<(ServerId, bool)> {
+        let out = self.withdrawn.contains(&id);
+        (out || self.keeps_withdrawals && self.suspects.contains(&id)).then_some((id, out))
     }
 
-    fn level(&self, class: ClassId, (resend, level): (Resend, f32)) -> v1::Level {
-        let resend = match resend {
-            Resend::Never => v1::Resend::Never,
-            Resend::Unsent => v1::Resend::Unsent,
-            Resend::Once => v1::Resend::Once,
-            Resend::Twice => v1::Resend::Twice,
-        };
+    fn level(&self, class: ClassId, (resend, level): (Resend, f32)) -> Level {
         let admit = match self.admit {
-            Admit::Ratio => {
-                let cap = self.caps.get(&class).copied().unwrap_or(1.0);
-                Some(v1::level::Admit::Share(level.min(cap)))
-            }
-            Admit::Rps => Some(v1::level::Admit::Rate(level)),
-            Admit::Silent => None,
+            Admit::Ratio => Admitted::Share(level.min(self.caps.get(&class).copied().unwrap_or(1.0))),
+            Admit::Rps => Admitted::Rate(level),
+            Admit::Silent => Admitted::All,
         };
-        v1::Level { class: u32::from(class.0), resend: resend.into(), admit }
+        Level { class, resend, admit }
     }
 }
-
-fn line(id: ServerId, weight: f32, ids: &ServerIds) -> v1::Line {
-    v1::Line { server: server(id, ids), weight }
-}
-
-fn server(id: ServerId, ids: &ServerIds) -> Option<v1::Server> {
-    ids.address(id).map(|address: SocketAddr| address.into())
-}
--- a/crates/stepspur-conductor/src/service/core.rs
+++ b/crates/stepspur-conductor/src/service/core.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use stepspur::interface::Micros;
 use stepspur_proto::v1::Reason;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -28,7 +29,7 @@
 
 /// What a stream's task is sent.
 #[derive(Debug)]
-pub(crate) enum Outgoing {
+pub enum Outgoing {
     /// Write this frame.
     Frame(Bytes),
     /// Write this frame and end.
@@ -49,6 +50,33 @@
     probe: mpsc::Sender<SocketAddr>,
     stop: CancellationToken,
     peers: BTreeMap<StreamId, Peer>,
+    nonsense: Pace,
+}
+
+/// Keeps lines of the log on what makes no sense to so many a span: whoever sends nonsense must not fill disks.
+#[derive(Debug, Default)]
+struct Pace {
+    since: Micros,
+    lines: u32,
+    left_out: u64,
+}
+
+const LINES: u32 = 20;
+const LINES_SPAN: Micros = 1_000_000;
+
+impl Pace {
+    fn may(&mut self, now: Micros) -> bool {
+        if now >= self.since + LINES_SPAN {
+            if self.left_out > 0 {
+                tracing::warn!(event = "nonsense", left_out = self.left_out);
+            }
+            *self = Self { since: now, ..Self::default() };
+        }
+        self.lines += 1;
+        let may = self.lines <= LINES;
+        self.left_out += u64::from(!may);
+        may
+    }
 }
 
 /// Inputs taken in one go before orders are looked at.
@@ -63,7 +91,7 @@
         probe: mpsc::Sender<SocketAddr>,
         stop: CancellationToken,
     ) -> Self {
-        Self { engine, clock, inputs, ask, probe, stop, peers: BTreeMap::new() }
+        Self { engine, clock, inputs, ask, probe, stop, peers: BTreeMap::new(), nonsense: Pace::default() }
     }
 
     pub(crate) async fn run(mut self) {
@@ -137,7 +165,12 @@
             }
             Output::Track => self.ask(Ask::Track),
             Output::Lookup => self.ask(Ask::Lookup),
-            Output::Note(note) => log(note, &self.engine),
+            Output::Note(note) => {
+                let now = self.clock.now();
+                if !note.is_about_nonsense() || self.nonsense.may(now) {
+                    log(note, &self.engine);
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/crates/stepspur-conductor/src/service/front.rs
@@ -0,0 +1,116 @@
+//! A conductor behind a protocol other than the project's own: the same engine, source and prober, and a door that
+//! the protocol's package brings.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use stepspur::interface::{ListHow, Settings};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::core::{Inbox, Outgoing};
+use super::prober::ReadLoad;
+use super::{Clock, Conductor, Heart, StartError, Tied, listen};
+use crate::config::Config;
+use crate::engine::{Dialect, Input, NodeEntry, Stats, StreamId};
+use crate::source::NodeSource;
+
+/// What a protocol's package brings to a conductor.
+pub struct Front {
+    /// What the tasks go by: fleet names, probes, bounds. The caller answers for its bounds.
+    pub config: Config,
+    /// The settings as the decision module takes them.
+    pub settings: Settings,
+    /// For random numbers.
+    pub seed: u64,
+    /// How orders are worded.
+    pub dialect: Box<dyn Dialect>,
+    /// How load reports of probes are read.
+    pub read_load: ReadLoad,
+    /// The list as last had, told at the start.
+    pub known: Vec<NodeEntry>,
+    /// Where the list comes from.
+    pub source: Box<dyn NodeSource>,
+    /// How callers come in.
+    pub door: Box<dyn Door>,
+    /// How long tasks may take to end.
+    pub grace: Duration,
+}
+
+/// How callers of a protocol come in.
+pub trait Door: Send {
+    /// Takes connections in until `stop` is cancelled, and ends every task that it started before it ends.
+    fn run(
+        self: Box<Self>,
+        listener: TcpListener,
+        engine: EngineLink,
+        stop: CancellationToken,
+    ) -> Pin<Box<dyn Future<Output = ()> + Send>>;
+}
+
+/// The engine, as the tasks of a door see it.
+#[derive(Clone, Debug)]
+pub struct EngineLink {
+    inbox: mpsc::Sender<Inbox>,
+}
+
+impl EngineLink {
+    /// Tells what happened, waiting while the engine is busy; false once it has ended.
+    pub async fn tell(&self, input: Input) -> bool {
+        self.inbox.send(Inbox::Input(input)).await.is_ok()
+    }
+
+    /// Announces a stream, before its proxy joins: what the engine writes to it comes out here, so many messages of
+    /// it wait at most, and `cut` is cancelled where one more comes.
+    pub async fn open(
+        &self,
+        stream: StreamId,
+        waiting: usize,
+        cut: CancellationToken,
+    ) -> Option<mpsc::Receiver<Outgoing>> {
+        let (to, outgoing) = mpsc::channel(waiting);
+        self.inbox.send(Inbox::Opened { stream, to, cut }).await.ok()?;
+        Some(outgoing)
+    }
+
+    /// Counts, now.
+    pub async fn stats(&self) -> Option<Stats> {
+        super::stats(&self.inbox).await
+    }
+}
+
+impl Conductor {
+    /// Listens and starts all tasks behind a front.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on.
+    pub async fn start_front(front: Front) -> Result<Self, StartError> {
+        let Front { config, settings, seed, dialect, read_load, known, source, door, grace } = front;
+        let asked = config.listen.address;
+        let listener = listen(asked, config.listen.queue)?;
+        let address = listener.local_addr().map_err(|cause| StartError::Listen { address: asked, cause })?;
+        let clock = Clock::start();
+        let epoch = clock.now();
+        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+        let failed = Arc::new(OnceLock::new());
+        let tied = Tied { stop: stop.clone(), failed: Arc::clone(&failed), tasks: tasks.clone() };
+        let mut cores = JoinSet::new();
+        let heart = Heart { config, settings, dialect, read_load, epoch, seed, clock };
+        let inbox = heart.start(source, &tied, &mut cores);
+        // Room is left for it: the queue is new.
+        let cached = Input::List { how: ListHow::Cached, entries: known };
+        let _ = inbox.send(Inbox::Input(cached)).await;
+        let engine = EngineLink { inbox: inbox.clone() };
+        tasks.spawn(tied.needed("proxies' door").task(door.run(listener, engine, stop.clone())));
+        tracing::info!(event = "started", %address, epoch);
+        let (status, operators): (Option<SocketAddr>, Option<SocketAddr>) = (None, None);
+        let kill = CancellationToken::new();
+        Ok(Self { address, status, operators, epoch, stop, kill, tasks, cores, failed, inbox, grace })
+    }
+}
--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -5,6 +5,7 @@
 
 mod audit;
 mod core;
+mod front;
 mod identity;
 mod operator;
 mod prober;
@@ -18,7 +19,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime};
 
-use stepspur::interface::Micros;
+use stepspur::interface::{Micros, Settings};
 use stepspur_identity::keys::KeyFault;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Semaphore, mpsc, oneshot};
@@ -28,13 +29,17 @@
 use tokio_util::task::TaskTracker;
 
 use crate::config::{Config, Fault, micros};
-use crate::engine::{Engine, Input, Stats, StreamId};
+use crate::engine::{Dialect, Engine, Framed, Input, Stats, StreamId};
 use crate::source::{self, Feed, News, NodeSource};
 use audit::Audit;
 use core::{Core, Inbox};
 use identity::Identity;
+use prober::ReadLoad;
 use session::Session;
 
+pub use core::Outgoing;
+pub use front::{Door, EngineLink, Front};
+
 /// Why a conductor did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -152,26 +157,18 @@
             }
         };
         let mut cores = JoinSet::new();
+        let tied = Tied { stop: stop.clone(), failed: Arc::clone(&failed), tasks: tasks.clone() };
         let mut start = |config: Config, source: Box<dyn NodeSource>| {
-            let (inbox, inputs) = mpsc::channel(INBOX);
-            let (ask, asks) = mpsc::channel(16);
-            let (probe, probes) = mpsc::channel(PROBES);
-            let engine = Engine::new(config.clone(), epoch, epoch, clock.now());
-            let core = Core::new(engine, clock, inputs, ask, probe, stop.clone());
-            cores.spawn(tasks.track_future(needed("engine").task(core.run())));
-            let (news, mut told) = mpsc::channel(16);
-            let feed = Feed { asks, news: News(news), stop: stop.clone() };
-            tasks.spawn(needed("source").task(source.run(feed)));
-            let to_core = inbox.clone();
-            tasks.spawn(async move {
-                while let Some(input) = told.recv().await {
-                    if to_core.send(Inbox::Input(input)).await.is_err() {
-                        break;
-                    }
-                }
-            });
-            tasks.spawn(needed("prober").task(prober::run(config, probes, inbox.clone(), stop.clone())));
-            inbox
+            let heart = Heart {
+                settings: config.settings(),
+                config,
+                dialect: Box::new(Framed),
+                read_load: prober::json_load,
+                epoch,
+                seed: epoch,
+                clock,
+            };
+            heart.start(source, &tied, &mut cores)
         };
         let own = identity.as_ref().map_or("", |i| i.tenant()).to_owned();
         let inbox = start(config.clone(), source);
@@ -265,6 +262,59 @@
     }
 }
 
+/// What the tasks of one conductor share: they end together.
+#[derive(Clone)]
+struct Tied {
+    stop: CancellationToken,
+    failed: Arc<OnceLock<Failed>>,
+    tasks: TaskTracker,
+}
+
+impl Tied {
+    fn needed(&self, name: &'static str) -> Needed {
+        Needed { name, stop: self.stop.clone(), failed: Arc::clone(&self.failed) }
+    }
+}
+
+/// An engine with what it talks to by itself: its source and its prober.
+struct Heart {
+    config: Config,
+    settings: Settings,
+    dialect: Box<dyn Dialect>,
+    read_load: ReadLoad,
+    epoch: u64,
+    seed: u64,
+    clock: Clock,
+}
+
+impl Heart {
+    /// Starts its tasks and gives the way in.
+    fn start(self, source: Box<dyn NodeSource>, tied: &Tied, cores: &mut JoinSet<()>) -> mpsc::Sender<Inbox> {
+        let Self { config, settings, dialect, read_load, epoch, seed, clock } = self;
+        let stop = &tied.stop;
+        let (inbox, inputs) = mpsc::channel(INBOX);
+        let (ask, asks) = mpsc::channel(16);
+        let (probe, probes) = mpsc::channel(PROBES);
+        let engine = Engine::with(config.clone(), settings, dialect, epoch, seed, clock.now());
+        let core = Core::new(engine, clock, inputs, ask, probe, stop.clone());
+        cores.spawn(tied.tasks.track_future(tied.needed("engine").task(core.run())));
+        let (news, mut told) = mpsc::channel(16);
+        let feed = Feed { asks, news: News(news), stop: stop.clone() };
+        tied.tasks.spawn(tied.needed("source").task(source.run(feed)));
+        let to_core = inbox.clone();
+        tied.tasks.spawn(async move {
+            while let Some(input) = told.recv().await {
+                if to_core.send(Inbox::Input(input)).await.is_err() {
+                    break;
+                }
+            }
+        });
+        let prober = prober::run(config, read_load, probes, inbox.clone(), stop.clone());
+        tied.tasks.spawn(tied.needed("prober").task(prober));
+        inbox
+    }
+}
+
 /// A task that a conductor cannot do without. If it ends before the conductor is stopped, by a panic too, that is
 /// logged and stops the conductor: proxies are told, and go to another.
 struct Needed {
--- a/crates/stepspur-conductor/src/service/prober.rs
+++ b/crates/stepspur-conductor/src/service/prober.rs
@@ -18,8 +18,12 @@
 /// The largest load report that is read, in bytes.
 const LARGEST: usize = 16 << 10;
 
+/// Reads the values of a load report in the order of the columns; none where it holds not all of them.
+pub type ReadLoad = fn(&[String], &[u8]) -> Vec<f32>;
+
 pub(crate) async fn run(
     config: Config,
+    read_load: ReadLoad,
     mut probes: mpsc::Receiver<SocketAddr>,
     inbox: mpsc::Sender<Inbox>,
     stop: CancellationToken,
@@ -43,18 +47,18 @@
         let (config, inbox) = (Arc::clone(&config), inbox.clone());
         under_way.spawn(async move {
             let _place = place;
-            let _ = inbox.send(probe(&config, server).await.into()).await;
+            let _ = inbox.send(probe(&config, read_load, server).await.into()).await;
         });
     }
     under_way.shutdown().await;
 }
 
-async fn probe(config: &Config, server: SocketAddr) -> Input {
+async fn probe(config: &Config, read_load: ReadLoad, server: SocketAddr) -> Input {
     let sent = Instant::now();
     let answer = get(server, &config.probes.path, config.probes.timeout, LARGEST).await;
     let (outcome, load) = match answer {
         Ok((status, body)) => match status.as_u16() {
-            200..300 => (ProbeOutcome::Ok, load(&config.reports.load_columns, &body)),
+            200..300 => (ProbeOutcome::Ok, read_load(&config.reports.load_columns, &body)),
             503 => (ProbeOutcome::Full, Vec::new()),
             _ => (ProbeOutcome::Error, Vec::new()),
         },
@@ -65,8 +69,8 @@
     Input::Probed { server, outcome, latency: micros(sent.elapsed()), load }
 }
 
-/// The values of a load report in the order of the columns; none where one is missing.
-fn load(columns: &[String], body: &[u8]) -> Vec<f32> {
+/// A load report as a JSON object.
+pub(crate) fn json_load(columns: &[String], body: &[u8]) -> Vec<f32> {
     let values: BTreeMap<String, serde_json::Value> = serde_json::from_slice(body).unwrap_or_default();
     let value = |name: &String| values.get(name).and_then(|v| v.as_f64()).map(|v| v as f32);
     columns.iter().map(value).collect::<Option<Vec<_>>>().unwrap_or_default()
--- a/crates/stepspur-conductor/src/source/mod.rs
+++ b/crates/stepspur-conductor/src/source/mod.rs
@@ -115,6 +115,7 @@
 impl From<NodeRecord> for NodeEntry {
     fn from(record: NodeRecord) -> Self {
         Self {
+            name: None,
             address: record.address,
             zone: record.zone,
             state: match record.state {
--- a/crates/stepspur-conductor/tests/common/mod.rs
+++ b/crates/stepspur-conductor/tests/common/mod.rs
@@ -66,6 +66,7 @@
 pub fn nodes(count: usize) -> Vec<NodeEntry> {
     let zone = |k: usize| ["a", "b"][k % 2].to_owned();
     let entry = |k| NodeEntry {
+        name: None,
         address: address(k),
         zone: zone(k),
         state: ListState::Ready,
--- /dev/null
+++ b/crates/stepspur-platform/src/config.rs
@@ -0,0 +1,250 @@
+//! What a conductor is told at its start, and again at each SIGHUP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use stepspur::interface::{Admit, Settings};
+use stepspur_conductor::Config;
+use stepspur_conductor::config::{
+    Channel, ClassConfig, Doubt, EffectConfig, Fleet, Listen, Probes, Reports, Source,
+};
+
+use crate::discovery::Answer;
+use crate::message::Catalog;
+use crate::strangers::Budget;
+
+/// Why a configuration cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// Neither the environment nor the file says it.
+    #[error("`{0}` is told neither by the environment nor by the configuration")]
+    Missing(&'static str),
+    /// The file cannot be read.
+    #[error("{path}: {cause}")]
+    Read {
+        /// Its path.
+        path: PathBuf,
+        /// Why.
+        cause: io::Error,
+    },
+    /// The file is no configuration.
+    #[error("{path}: {cause}")]
+    Parse {
+        /// Its path.
+        path: PathBuf,
+        /// What is wrong and where.
+        cause: serde_json::Error,
+    },
+    /// The settings are not what the conductor needs.
+    #[error("{path}: settings: {cause}")]
+    Settings {
+        /// The file's path.
+        path: PathBuf,
+        /// What is wrong and where.
+        cause: serde_json::Error,
+    },
+    /// A value that cannot be.
+    #[error("{path}: `{key}`: {what}")]
+    Value {
+        /// The file's path.
+        path: PathBuf,
+        /// The key.
+        key: &'static str,
+        /// What is wrong.
+        what: String,
+    },
+}
+
+/// All that a conductor is told.
+#[derive(Clone, Debug)]
+pub struct PlatformConfig {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The list as last had.
+    pub known: Answer,
+    /// What the conductor's tasks go by.
+    pub conductor: Config,
+    /// What the decisions go by.
+    pub settings: Settings,
+    /// The names that messages may use.
+    pub catalog: Catalog,
+    /// Descriptors.
+    pub budget: Budget,
+}
+
+#[derive(Deserialize)]
+struct File<'a> {
+    name: Option<String>,
+    listen: Option<SocketAddr>,
+    discovery: Option<SocketAddr>,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: Answer,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Names {
+    zones: Vec<String>,
+    request_classes: Vec<Named>,
+}
+
+#[derive(Deserialize)]
+struct Named {
+    name: String,
+}
+
+#[derive(Deserialize)]
+struct Discovery {
+    discovery: SocketAddr,
+}
+
+impl PlatformConfig {
+    /// Reads the file that `LB_CONFIG` names; what it lacks is taken from the environment.
+    ///
+    /// # Errors
+    /// [`ConfigError`] names the place.
+    pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = PathBuf::from(env("LB_CONFIG").ok_or(ConfigError::Missing("LB_CONFIG"))?);
+        let text = read(&path)?;
+        let parse = |cause| ConfigError::Parse { path: path.clone(), cause };
+        let file: File<'_> = serde_json::from_slice(&text).map_err(parse)?;
+        let told = |key: &'static str| -> Result<Option<SocketAddr>, ConfigError> {
+            let Some(text) = env(key) else { return Ok(None) };
+            let wrong = |_| ConfigError::Value {
+                path: "the environment".into(),
+                key,
+                what: format!("`{text}` is no address with a port"),
+            };
+            text.parse().map(Some).map_err(wrong)
+        };
+        let listen = file.listen.or(told("LB_LISTEN")?).ok_or(ConfigError::Missing("LB_LISTEN"))?;
+        let discovery = file.discovery.or(told("LB_DISCOVERY")?);
+        let discovery = discovery.ok_or(ConfigError::Missing("LB_DISCOVERY"))?;
+        let settings = |cause| ConfigError::Settings { path: path.clone(), cause };
+        let raw = file.settings.get();
+        let names: Names = serde_json::from_str(raw).map_err(settings)?;
+        let mut settings = stepspur_wire::parse_settings(raw.as_bytes()).map_err(settings)?;
+        // On sockets no list comes unasked, whatever the simulator does at this site.
+        settings.list_on_request = true;
+        let value = |key, what: &str| ConfigError::Value { path: path.clone(), key, what: what.to_owned() };
+        let seed = match file.seed.as_str() {
+            "" => 0,
+            seed => u64::from_str_radix(seed, 16).map_err(|_| value("seed", "is no hexadecimal number"))?,
+        };
+        let conductor = conductor(listen, discovery, &names, &settings);
+        let catalog = Catalog {
+            zones: names.zones.into(),
+            classes: names.request_classes.into_iter().map(|class| class.name).collect(),
+            proxies: settings.proxies.min(u32::from(u16::MAX)),
+            columns: settings.load_columns.iter().cloned().collect(),
+        };
+        let zones = catalog.zones.len();
+        let budget = Budget::of(file.limits.sockets, conductor.probes.concurrency, settings.proxies, zones);
+        let budget = budget.ok_or_else(|| value("limits.sockets", "leaves no descriptor for callers"))?;
+        let name = file.name.or_else(|| env("LB_NAME")).ok_or(ConfigError::Missing("LB_NAME"))?;
+        let (known, discovery) = (file.known, discovery);
+        Ok(Self { name, discovery, seed, known, conductor, settings, catalog, budget })
+    }
+
+    /// Where discovery answers by the file as it is now.
+    ///
+    /// # Errors
+    /// [`ConfigError`], also while the file is half written.
+    pub fn discovery_now(path: &Path) -> Result<SocketAddr, ConfigError> {
+        let text = read(path)?;
+        let now: Result<Discovery, _> = serde_json::from_slice(&text);
+        now.map(|now| now.discovery).map_err(|cause| ConfigError::Parse { path: path.to_owned(), cause })
+    }
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, ConfigError> {
+    std::fs::read(path).map_err(|cause| ConfigError::Read { path: path.to_owned(), cause })
+}
+
+/// Probes under way at once: each costs a descriptor for as long as its server says nothing.
+const PROBES: usize = 16;
+
+/// The conductor's own settings where the platform sets its limits: no pace, no intake, no doubt of its own, as the
+/// decisions reckon with those of the platform alone, and no stream ended for a mark that comes late.
+fn conductor(listen: SocketAddr, discovery: SocketAddr, names: &Names, settings: &Settings) -> Config {
+    let classes = names.request_classes.iter().zip(&settings.classes).map(|(named, class)| ClassConfig {
+        name: named.name.clone(),
+        // The decisions are told the whole class by the platform's own settings; here its name counts.
+        effect: EffectConfig::NonIdempotent,
+        aim: Duration::from_micros(class.aim),
+        deadline: Duration::from_micros(class.deadline),
+        worth: class.worth,
+        group: Default::default(),
+        window: Duration::ZERO,
+        own_zone: class.own_zone,
+    });
+    let fleet = Fleet {
+        zones: names.zones.clone(),
+        my_zone: names.zones.get(usize::from(settings.my_zone.0)).cloned(),
+        conductors: settings.conductors,
+        proxies: settings.proxies,
+        classes: classes.collect(),
+        admit: match settings.admit {
+            Admit::Ratio => stepspur_conductor::config::AdmitConfig::Share,
+            Admit::Rps => stepspur_conductor::config::AdmitConfig::Rate,
+            Admit::Silent => stepspur_conductor::config::AdmitConfig::Silent,
+        },
+        connections_min: 0,
+        cold: Duration::from_micros(settings.cold),
+        start_capacity: settings.start_capacity,
+        fall_multiple: settings.fall_multiple,
+        drain_grace: Duration::ZERO,
+        unserved_max: Duration::ZERO,
+        drain_binds_alone: settings.drain_binds_alone,
+    };
+    let path = if settings.load_columns.is_empty() { "/health" } else { "/status/load" };
+    let doubt = Doubt { loss_max: 1.0, confirm_after: Duration::ZERO, empty_allowed: true };
+    Config {
+        fleet,
+        listen: Listen { address: listen, ..Listen::default() },
+        channel: Channel {
+            lines_per_s: f64::INFINITY,
+            message_head: settings.message_head,
+            waiting_max: settings.pending_max,
+            messages_max: settings.messages_max,
+            message_window: Duration::from_micros(settings.message_window),
+            mark_timeout: Duration::MAX,
+            ..Channel::default()
+        },
+        reports: Reports { load_columns: settings.load_columns.clone(), ..Reports::default() },
+        probes: Probes {
+            enabled: settings.probing,
+            path: path.to_owned(),
+            concurrency: PROBES,
+            ..Probes::default()
+        },
+        source: Source::Http {
+            address: discovery,
+            path: crate::discovery::PATH.to_owned(),
+            poll: Duration::ZERO,
+            timeout: Duration::ZERO,
+            doubt,
+        },
+        status: Default::default(),
+        identity: None,
+        tenants: Default::default(),
+    }
+}
--- /dev/null
+++ b/crates/stepspur-platform/src/discovery.rs
@@ -0,0 +1,359 @@
+//! Discovery as a source of servers: the whole list, and a watch that stands until its connection ends.
+//!
+//! Calls are made one after the other, each bounded in time; when to ask again after a failure is the decisions'
+//! matter. Where the configuration names another address, a watch is opened there before the old one is given up.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
+use stepspur::interface::{ListHow, ListState, Micros};
+use stepspur_conductor::engine::NodeEntry;
+use stepspur_conductor::http::get;
+use stepspur_conductor::source::{Ask, Feed, NodeSource, Running};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::message::Lines;
+
+/// Where the list is.
+pub const PATH: &str = "/v1/endpoints";
+/// The longest name of a server, in bytes.
+pub const LONGEST_NAME: usize = 200;
+/// The largest answer or line that is read, in bytes.
+const LARGEST: usize = 4 << 20;
+/// A call that has said nothing for so long has failed.
+const ANSWER: Duration = Duration::from_secs(3);
+/// A watch says something every 2 s: after two that stayed away it is dead, whatever the connection says.
+const SILENCE: Duration = Duration::from_secs(4);
+
+/// A list, or its changes, as discovery and the configuration word it. Entries that make no sense are left out.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// Its version.
+    pub index: u64,
+    /// True: the whole list.
+    pub whole: bool,
+    /// The servers.
+    pub entries: Vec<NodeEntry>,
+    /// Names whose entries make no sense otherwise.
+    pub spoilt: Vec<String>,
+    /// Entries without even a name.
+    pub nameless: usize,
+}
+
+impl<'de> Deserialize<'de> for Answer {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        #[derive(Deserialize)]
+        struct Told {
+            index: u64,
+            snapshot: bool,
+            endpoints: Vec<Value>,
+        }
+        let Told { index, snapshot, endpoints } = Told::deserialize(deserializer)?;
+        let mut answer = Answer { index, whole: snapshot, ..Answer::default() };
+        for endpoint in endpoints {
+            let name = endpoint.get("name").and_then(Value::as_str);
+            let name = name.filter(|name| !name.is_empty() && name.len() <= LONGEST_NAME).map(str::to_owned);
+            match (name, Endpoint::deserialize(endpoint)) {
+                (Some(name), Ok(endpoint)) => answer.entries.push(endpoint.into_entry(name)),
+                (Some(name), Err(_)) => answer.spoilt.push(name),
+                (None, _) => answer.nameless += 1,
+            }
+        }
+        Ok(answer)
+    }
+}
+
+#[derive(Deserialize)]
+struct Endpoint {
+    address: SocketAddr,
+    zone: String,
+    status: Status,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Status {
+    Ready,
+    Draining,
+    Gone,
+}
+
+impl Endpoint {
+    fn into_entry(self, name: String) -> NodeEntry {
+        NodeEntry {
+            name: Some(name),
+            address: self.address,
+            zone: self.zone,
+            state: match self.status {
+                Status::Ready => ListState::Ready,
+                Status::Draining => ListState::Draining,
+                Status::Gone => ListState::Gone,
+            },
+            weight: self.weight,
+            // A conversion of what is no time gives 0: long ago.
+            started: (self.since_ms * 1000.0) as Micros,
+        }
+    }
+}
+
+/// The platform's discovery.
+#[derive(Debug)]
+pub struct Discovery {
+    address: watch::Receiver<SocketAddr>,
+    /// The version that is known, if a whole list is.
+    index: Option<u64>,
+    /// The entries that were last told, for those that come spoilt in a whole list.
+    told: BTreeMap<String, NodeEntry>,
+    ready: watch::Sender<bool>,
+}
+
+/// What a call's task says.
+#[derive(Debug)]
+enum Said {
+    List(Answer),
+    Ended(String),
+}
+
+/// Calls under way, by a number that is never used again.
+#[derive(Debug, Default)]
+struct Calls {
+    last: u64,
+    /// The watch that stands.
+    standing: Option<Call>,
+    /// One that has told nothing yet; the standing one goes on until it has.
+    opening: Option<Call>,
+    /// A look-up of the whole list.
+    lookup: Option<Call>,
+}
+
+#[derive(Debug)]
+struct Call {
+    number: u64,
+    task: tokio::task::AbortHandle,
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Discovery {
+    /// Discovery at the newest of these addresses. `known` is the list as last had; `ready` is told once any answer
+    /// has come.
+    pub fn new(address: watch::Receiver<SocketAddr>, known: &Answer, ready: watch::Sender<bool>) -> Self {
+        let told = |entry: &NodeEntry| Some((entry.name.clone()?, entry.clone()));
+        let index = (known.whole && !known.entries.is_empty()).then_some(known.index);
+        Self { address, index, told: known.entries.iter().filter_map(told).collect(), ready }
+    }
+
+    async fn serve(mut self, mut feed: Feed) {
+        let stop = feed.stop.clone();
+        let (say, mut said) = mpsc::channel(16);
+        let (mut tasks, mut calls) = (JoinSet::new(), Calls::default());
+        let serve = async {
+            loop {
+                tokio::select! {
+                    ask = feed.asks.recv() => match ask {
+                        Some(Ask::Track) => self.open(&mut calls, &mut tasks, &say),
+                        Some(Ask::Lookup) => self.look_up(&mut calls, &mut tasks, &say),
+                        None => return,
+                    },
+                    Some((number, what)) = said.recv() => self.take(number, what, &mut calls, &feed).await,
+                    Ok(()) = self.address.changed() => {
+                        let address = *self.address.borrow_and_update();
+                        tracing::info!(event = "discovery_moved", %address);
+                        calls.opening = None;
+                        if calls.standing.is_some() {
+                            self.open(&mut calls, &mut tasks, &say);
+                        }
+                    }
+                    Some(_) = tasks.join_next() => {}
+                }
+            }
+        };
+        tokio::select! {
+            () = serve => {}
+            () = stop.cancelled() => {}
+        }
+        tasks.shutdown().await;
+    }
+
+    /// Opens a watch, unless one is being opened: discovery takes one call at a time.
+    fn open(&self, calls: &mut Calls, tasks: &mut JoinSet<()>, say: &mpsc::Sender<(u64, Said)>) {
+        if calls.opening.is_some() {
+            return;
+        }
+        let (address, index, say) = (*self.address.borrow(), self.index, say.clone());
+        calls.last += 1;
+        let number = calls.last;
+        let task = tasks.spawn(async move {
+            let end = match watch_list(address, index, number, &say).await {
+                Ok(()) => "the watch has ended".to_owned(),
+                Err(cause) => cause,
+            };
+            let _ = say.send((number, Said::Ended(end))).await;
+        });
+        calls.opening = Some(Call { number, task });
+    }
+
+    fn look_up(&self, calls: &mut Calls, tasks: &mut JoinSet<()>, say: &mpsc::Sender<(u64, Said)>) {
+        if calls.lookup.is_some() {
+            return;
+        }
+        let (address, say) = (*self.address.borrow(), say.clone());
+        calls.last += 1;
+        let number = calls.last;
+        let task = tasks.spawn(async move {
+            let what = match get(address, PATH, ANSWER, LARGEST).await {
+                Ok((StatusCode::OK, body)) => match serde_json::from_slice(&body) {
+                    Ok(answer) => Said::List(answer),
+                    Err(cause) => Said::Ended(format!("not a list: {cause}")),
+                },
+                Ok((status, _)) => Said::Ended(format!("status {status}")),
+                Err(cause) => Said::Ended(cause.to_string()),
+            };
+            let _ = say.send((number, what)).await;
+        });
+        calls.lookup = Some(Call { number, task });
+    }
+
+    async fn take(&mut self, number: u64, what: Said, calls: &mut Calls, feed: &Feed) {
+        let is = |call: &Option<Call>| call.as_ref().is_some_and(|call| call.number == number);
+        let (looked, opened, stood) = (is(&calls.lookup), is(&calls.opening), is(&calls.standing));
+        if !(looked || opened || stood) {
+            return;
+        }
+        if looked {
+            calls.lookup = None;
+        }
+        match what {
+            Said::List(answer) => {
+                if opened {
+                    calls.standing = calls.opening.take();
+                }
+                self.tell(answer, feed).await;
+            }
+            Said::Ended(cause) => {
+                if opened {
+                    calls.opening = None;
+                } else if stood {
+                    calls.standing = None;
+                }
+                // While another watch is being opened that one answers for both.
+                if !stood || calls.opening.is_none() {
+                    feed.news.failed(cause).await;
+                }
+            }
+        }
+        self.ready.send_replace(true);
+    }
+
+    async fn tell(&mut self, answer: Answer, feed: &Feed) {
+        let Answer { index, whole, mut entries, spoilt, nameless } = answer;
+        if !spoilt.is_empty() || nameless > 0 {
+            tracing::warn!(event = "bad_entries", named = spoilt.len(), nameless);
+        }
+        if !whole && self.index.is_none() {
+            // Changes to a list that is not known are no list.
+            return feed.news.failed("changes came where the whole list was asked for").await;
+        }
+        self.index = Some(index);
+        if whole {
+            // One that is named is not gone, however spoilt its entry.
+            entries.extend(spoilt.iter().filter_map(|name| self.told.get(name).cloned()));
+            self.told.clear();
+        }
+        for entry in &entries {
+            let Some(name) = &entry.name else { continue };
+            match entry.state {
+                ListState::Gone => self.told.remove(name),
+                _ => self.told.insert(name.clone(), entry.clone()),
+            };
+        }
+        feed.news.list(if whole { ListHow::Full } else { ListHow::Delta }, entries).await;
+    }
+}
+
+impl NodeSource for Discovery {
+    fn run(self: Box<Self>, feed: Feed) -> Running {
+        Box::pin(self.serve(feed))
+    }
+}
+
+/// Tells every line of a watch until it ends, or is silent for too long.
+async fn watch_list(
+    address: SocketAddr,
+    after: Option<u64>,
+    number: u64,
+    say: &mpsc::Sender<(u64, Said)>,
+) -> Result<(), String> {
+    let path = match after {
+        Some(index) => format!("{PATH}?watch=1&after={index}"),
+        None => format!("{PATH}?watch=1&after=0"),
+    };
+    let request = Request::get(path).header(header::HOST, address.to_string());
+    let request = request.body(Empty::<Bytes>::new()).map_err(|cause| cause.to_string())?;
+    let connect = async {
+        let socket = TcpStream::connect(address).await.map_err(|cause| cause.to_string())?;
+        hyper::client::conn::http1::handshake(TokioIo::new(socket)).await.map_err(|cause| cause.to_string())
+    };
+    let (mut sender, connection) = timeout(ANSWER, connect).await.map_err(|_| "no connection in time")??;
+    let watch = async {
+        let response = timeout(ANSWER, sender.send_request(request)).await;
+        let response = response.map_err(|_| "no answer in time")?.map_err(|cause| cause.to_string())?;
+        if response.status() != StatusCode::OK {
+            return Err(format!("status {}", response.status()));
+        }
+        read_lines(response, number, say).await
+    };
+    // The connection is driven here, so that nothing outlives the call.
+    let (mut connection, mut watch) = (std::pin::pin!(connection), std::pin::pin!(watch));
+    tokio::select! {
+        end = &mut watch => end,
+        end = &mut connection => {
+            end.map_err(|cause| cause.to_string())?;
+            watch.await
+        }
+    }
+}
+
+async fn read_lines(
+    response: Response<Incoming>,
+    number: u64,
+    say: &mpsc::Sender<(u64, Said)>,
+) -> Result<(), String> {
+    let (mut body, mut lines, mut told) = (response.into_body(), Lines::default(), false);
+    loop {
+        let within = if told { SILENCE } else { ANSWER };
+        let frame = timeout(within, body.frame()).await.map_err(|_| "the watch fell silent")?;
+        let Some(frame) = frame else { return Ok(()) };
+        let Ok(data) = frame.map_err(|cause| cause.to_string())?.into_data() else { continue };
+        lines.buffer().extend_from_slice(&data);
+        while let Some(line) = lines.next(LARGEST).map_err(|cause| cause.to_string())? {
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            let answer = serde_json::from_slice(&line).map_err(|cause| format!("not a list: {cause}"))?;
+            told = true;
+            if say.send((number, Said::List(answer))).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
