--- a/crates/stepspur-conductor/src/service/prober.rs
+++ b/crates/stepspur-conductor/src/service/prober.rs
@@ -56,6 +56,11 @@
 async fn probe(config: &Config, read_load: ReadLoad, server: SocketAddr) -> Input {
     let sent = Instant::now();
     let answer = get(server, &config.probes.path, config.probes.timeout, LARGEST).await;
+    if let Ok((status, body)) = &answer {
+        // What crossed the socket, to be held against what is believed of it.
+        let (status, body) = (status.as_u16(), String::from_utf8_lossy(&body[..body.len().min(200)]));
+        tracing::debug!(event = "probe_answered", %server, status, %body);
+    }
     let (outcome, load) = match answer {
         Ok((status, body)) => match status.as_u16() {
             200..300 => (ProbeOutcome::Ok, read_load(&config.reports.load_columns, &body)),
