--- a/src/policy.rs
+++ b/src/policy.rs
@@ -95,7 +95,8 @@
 const SHED_HOLD: Micros = 2_500_000;
 /// Heat of fewer tries than this sheds nothing: after a start the first reports tell of a few requests.
 const SHED_TRIES: f64 = 30.0;
-/// Short queues tell a cool fleet only while no more than this part of the tries fail.
+/// Short queues that probes alone tell count while no more than this part of the tries fails: servers that
+/// turn tries away turn probes away, too.
 const FEW_FAIL: f64 = 0.1;
 const WARY: f64 = 0.75;
 const ADMIT_PACE: f64 = 1.0;
@@ -182,6 +183,7 @@
             Event::Applied { proxy, mark, .. } => self.ledger.applied(*proxy, *mark),
             Event::Tally { server, zone, period, total, errors, latency, load } => {
                 self.note_load(*server, load);
+                self.answers_tell |= !load.is_empty();
                 self.report_span += SPAN_GAIN * (*period as f64 - self.report_span);
                 self.learn_tally(*server, *zone, f64::from(*total), f64::from(*errors), *latency as f64);
             }
@@ -411,7 +413,8 @@
     /// servers report them, as answers tell late of both. Harm: other trouble that slows most is shed too.
     fn set_shedding(&mut self, span: f64) {
         let by_queue = self.median_queue(self.recent()).map(|queue| HOT * queue / QUEUE_HOT);
-        let cool = by_queue.filter(|heat| *heat <= COOL && self.errors <= FEW_FAIL * self.tries);
+        let trusted = self.answers_tell || self.errors <= FEW_FAIL * self.tries;
+        let cool = by_queue.filter(|heat| *heat <= COOL && trusted);
         let heat = cool.unwrap_or(self.median.max(by_queue.unwrap_or(0.0)));
         let mut wanted = 1.0 - self.shed.part;
         let told = self.tries >= SHED_TRIES || by_queue.is_some_and(|heat| heat > HOT);
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,6 +152,8 @@
     pub(crate) tries: f64,
     pub(crate) errors: f64,
     pub(crate) zone_heat: ByZone,
+    /// True: load reports come with answers, not with probes alone.
+    pub(crate) answers_tell: bool,
     /// No report for long before this: what the fleet's heat is may be told late from now on.
     pub(crate) blind_until: Micros,
     pub(crate) pressure: f64,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -703,7 +703,7 @@
 #[test]
 fn late_answers_shed_nothing_while_the_servers_report_no_queues() {
     let set = Settings { load_columns: vec!["busy".into(), "q".into()], ..settings() };
-    let shed = |queue: f32| {
+    let shed = |queue: f32, errors: u32| {
         let mut site = Site::running(set.clone(), 12);
         site.pass(6 * SECOND, |_| {
             let told = |n: u8| Event::Tally {
@@ -711,7 +711,7 @@
                 zone: ZoneId(u16::from(n % 3)),
                 period: SECOND,
                 total: 20,
-                errors: 0,
+                errors,
                 latency: 900_000,
                 load: vec![0.9, queue],
             };
@@ -719,8 +719,9 @@
         });
         site.levels[&(site.bound[&ProxyId(0)], ClassId(0))].1
     };
-    assert_eq!(shed(0.2), 1.0);
-    assert!(shed(4.0) < 0.9);
+    assert_eq!(shed(0.2, 0), 1.0);
+    assert_eq!(shed(0.2, 4), 1.0, "queues that answers tell are trusted however many tries fail");
+    assert!(shed(4.0, 0) < 0.9);
 }
 
 /// Found on a recorded release under overload at hobart-intake-later: servers four fifths warm got the part of
