Widen tables left with a cold server alone; let gone servers heat the fleet no more

At fault: `plan` spilled over like parts alone; all three like parts (one in each zone) had lost their servers but this one, so the weight that `spared` reckoned was the only one in the table. Ruled out: the pressure (2.5 throughout, 0.05 is its floor), proxies that avoid others (there was no other line), knowledge of the start (told 2.5 s before the first order).

Change: a table that is still short after like parts takes servers of other parts, warm and near ones first, until they bear its load (it was all servers of the fleet where it had none); cold servers are pushed by the fleet's strain at least. Heat counts servers that are ready, by evidence that fades while no report renews it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,6 +49,8 @@
 /// or `ANCHORED` of the table's: if its warm servers all fail at once, the cold don't carry its load alone.
 const ANCHORS: usize = 2;
 const ANCHORED: f64 = 0.05;
+/// Tables that are widened begin so many servers apart, each by its number.
+const TURNED: usize = 7;
 /// A table with ramping servers and so many times the fleet's load spills over other zones.
 const SPILL: f64 = 2.0;
 /// Servers are judged and tables cut this often.
@@ -316,7 +318,12 @@
     /// Sums over all links, once a round. A zone's heat counts withdrawn servers too, as their load falls on
     /// the rest. Reports that stay away tell nothing: the last heat stands.
     fn survey(&mut self) {
-        let (tries, errors) = self.sum_links(self.recent(), heat);
+        let now = self.now;
+        let told = |server: &Server, link: &Link| {
+            let fades = 0.5f64.powf((now - link.at) as f64 / EVIDENCE_HALF);
+            (heat(link), if server.ready() { link.tries * fades } else { 0.0 })
+        };
+        let (tries, errors) = self.sum_links(self.recent(), told);
         (self.tries, self.errors) = (tries, errors);
         self.class_load = self.sum_usual();
         let load = self.sum_rates();
@@ -593,16 +600,19 @@
         let usable = || mates.iter().copied().filter(|s| self.usable(s, zone));
         let mut chosen: Vec<&Server> = usable().filter(|s| !self.zoned || s.home == pool).collect();
         let earned = |chosen: &[&Server]| chosen.iter().map(|s| self.count(s)).sum::<f64>().max(1e-9);
-        if chosen.is_empty() || chosen.iter().any(|s| self.ramp(s) < 1.0) && load > SPILL * earned(&chosen) {
+        let short = |chosen: &[&Server]| {
+            chosen.is_empty() || chosen.iter().any(|s| self.ramp(s) < 1.0) && load > SPILL * earned(chosen)
+        };
+        if short(&chosen) {
             chosen = usable().collect();
         }
-        if chosen.is_empty() {
-            chosen = self.servers.values().filter(|s| self.usable(s, zone)).collect();
+        if short(&chosen) {
+            self.widen(pool, &mut chosen, load);
         }
         if chosen.is_empty() {
             chosen = self.servers.values().filter(|s| s.ready()).collect();
         }
-        let push = load / earned(&chosen) * self.pressure;
+        let push = (load / earned(&chosen)).max(self.strain) * self.pressure;
         let line = |s: &&Server| (s.listed.server, s.listed.weight * s.eased * self.spared(s, push));
         let mut lines: BTreeMap<_, _> = chosen.iter().map(line).collect();
         let parts = self.zoned && self.parts_of(zone).count() > 1;
@@ -615,6 +625,28 @@
         lines
     }
 
+    /// Adds servers of other parts, warm ones and those of its zone first and each table others, until they
+    /// bear the load. Guards against a part left with a cold server or two: whatever its weight, a line that
+    /// is alone gets all. Harm: these tables are long, and cross zones.
+    fn widen<'a>(&'a self, pool: TableId, chosen: &mut Vec<&'a Server>, load: f64) {
+        let zone = self.zone_of(pool);
+        let held: BTreeSet<_> = chosen.iter().map(|s| s.listed.server).collect();
+        let others =
+            self.servers.values().filter(|s| self.usable(s, zone) && !held.contains(&s.listed.server));
+        let mut others: Vec<_> = others.collect();
+        let turn = usize::from(pool.0) * TURNED % others.len().max(1);
+        others.rotate_left(turn);
+        others.sort_by_key(|s| (self.ramp(s) < 1.0, s.listed.zone != zone));
+        let mut earned: f64 = chosen.iter().map(|s| self.count(s)).sum();
+        for server in others {
+            if earned >= load {
+                break;
+            }
+            earned += self.count(server);
+            chosen.push(server);
+        }
+    }
+
     /// How much of its cold time has passed.
     fn warmth(&self, server: &Server) -> f64 {
         self.now.saturating_sub(server.listed.born) as f64 / self.set.cold.max(1) as f64
@@ -642,6 +674,8 @@
         let mut mates: BTreeMap<u16, Vec<&Server>> = BTreeMap::new();
         self.servers.values().for_each(|s| mates.entry(part(s.home)).or_default().push(s));
         let fleet: f64 = self.servers.values().filter(|s| s.ready()).map(|s| s.listed.weight).sum();
+        let earned: f64 = self.servers.values().map(|s| self.counted(s)).sum();
+        self.strain = fleet / earned.max(1e-9);
         let used = shares.iter().filter(|(pool, _)| !self.zoned || self.in_use(**pool));
         let mates = |pool| mates.get(&part(pool)).map_or(&[][..], |mates| mates);
         let plans = used.map(|(pool, share)| (*pool, self.plan(*pool, mates(*pool), share * fleet)));
--- a/src/records.rs
+++ b/src/records.rs
@@ -136,16 +136,24 @@
         }
     }
 
-    /// The median heat of the fleet and of each zone by links with reports since then; tries and errors there.
-    pub(crate) fn sum_links(&mut self, since: Micros, heat: impl Fn(&Link) -> f64) -> (f64, f64) {
+    /// The median heat of the fleet and of each zone by links with reports since then, each heat and its weight as
+    /// told; tries and errors there.
+    pub(crate) fn sum_links(
+        &mut self,
+        since: Micros,
+        told: impl Fn(&Server, &Link) -> (f64, f64),
+    ) -> (f64, f64) {
         let mut zones: BTreeMap<ZoneId, Vec<_>> = BTreeMap::new();
         let (mut tries, mut errors, mut fleet) = (0.0, 0.0, Vec::new());
-        let links = self.servers.values().flat_map(|s| &s.links).filter(|(_, l)| l.at >= since);
-        for (zone, link) in links {
-            let value = (heat(link), link.tries);
+        let links = self.servers.values().flat_map(|s| s.links.iter().map(move |(zone, l)| (s, zone, l)));
+        for (server, zone, link) in links.filter(|(_, _, l)| l.at >= since) {
+            let value = told(server, link);
+            (tries, errors) = (tries + link.tries, errors + link.errors);
+            if value.1 <= 0.0 {
+                continue;
+            }
             zones.entry(*zone).or_default().push(value);
             fleet.extend(link.out_until.is_none().then_some(value));
-            (tries, errors) = (tries + link.tries, errors + link.errors);
         }
         self.zone_heat = zones.into_iter().map(|(zone, heats)| (zone, median(heats))).collect();
         self.median = median(fleet);
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,6 +157,8 @@
     /// No report for long before this: what the fleet's heat is may be told late from now on.
     pub(crate) blind_until: Micros,
     pub(crate) pressure: f64,
+    /// Listed weight of the servers that are ready, over what they have earned.
+    pub(crate) strain: f64,
     /// Requests a second that come to our proxies, smoothed.
     pub(crate) load: f64,
     /// Time that reports cover, smoothed: more than the period where they fall behind.
