Rehearse several conductors: most killed at once, or all restarted in turn, judged by sockets

Change: `conductors = N` starts so many processes of the program, each with a node list address of its own and a relay before it; `conductor_kill` of a share, `conductor_restart` by SIGTERM in turn, `away_at_most`. The judge holds a proxy to what its own conductor was told. Proxies try the next conductor when theirs does not answer.

--- a/crates/stepspur-cli/src/bench.rs
+++ b/crates/stepspur-cli/src/bench.rs
@@ -158,7 +158,7 @@
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let stop = CancellationToken::new();
-        tokio::spawn(Arc::clone(&registry).serve(listener, stop.clone()));
+        tokio::spawn(Arc::clone(&registry).serve(0, listener, stop.clone()));
         let mut config = plan.config;
         config.listen.address.set_port(0);
         config.status.address = None;
--- a/crates/stepspur-cli/tests/platform.rs
+++ b/crates/stepspur-cli/tests/platform.rs
@@ -43,6 +43,14 @@
     assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
 }
 
+/// Processes that any thread of this one has started.
+fn children(pid: u32) -> String {
+    let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).unwrap();
+    let of =
+        |task: std::fs::DirEntry| std::fs::read_to_string(task.path().join("children")).unwrap_or_default();
+    tasks.flatten().map(of).collect::<String>().trim().to_owned()
+}
+
 #[test]
 fn it_serves_moves_on_a_hang_up_and_ends_on_sigterm() {
     let folder = tempfile::tempdir().unwrap();
@@ -69,6 +77,7 @@
     let answer =
         format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{whole}\r\n", whole.len());
     watch.write_all(answer.as_bytes()).unwrap();
+    assert_eq!(children(running.0.id()), "", "one process, as the platform asks");
     // Half a file: the old one stays in force until the whole is there.
     let next = configuration(new.local_addr().unwrap());
     std::fs::write(&path, &next[..next.len() / 2]).unwrap();
--- a/crates/stepspur-fleet/src/world.rs
+++ b/crates/stepspur-fleet/src/world.rs
@@ -266,6 +266,7 @@
 
 impl World {
     fn new(plan: &Plan, options: &Options) -> Self {
+        let options = &Options { conductors: options.conductors.max(plan.conductors), ..options.clone() };
         let plan = Arc::new(plan.clone());
         let mut rng = ChaCha8Rng::seed_from_u64(plan.seed ^ 0xf1ee7);
         let mut config = plan.config.clone();
@@ -881,7 +882,8 @@
                 p.report_every = welcome.report_every_us.max(10_000);
                 let at = self.now + (p.report_every as f64 * self.rng.random_range(0.0..1.0)) as Micros;
                 self.due.put(at, Due::Report(proxy, stream));
-                self.note(Event::Up { proxy });
+                let conductor = p.conductor;
+                self.note(Event::Up { proxy, conductor });
             }
             Some(from_conductor::Kind::Order(order)) => {
                 let lines = order.cost() as f64 + self.config.channel.message_head;
@@ -931,14 +933,14 @@
         let conductor = &mut self.conductors[k];
         (conductor.engine, conductor.life, conductor.tracking) = (Some(engine), life, false);
         conductor.wake = Micros::MAX;
-        self.note(Event::Conductor { up: true });
+        self.note(Event::Conductor { conductor: k, up: true });
         self.act(k);
     }
 
     fn kill_conductor(&mut self, k: usize) {
         self.conductors[k].engine = None;
         self.conductors[k].life += 1;
-        self.note(Event::Conductor { up: false });
+        self.note(Event::Conductor { conductor: k, up: false });
         let proxies: Vec<usize> = self.conductors[k].streams.values().copied().collect();
         for proxy in proxies {
             self.hang_up(proxy, false);
@@ -1111,7 +1113,7 @@
                 .iter()
                 .all(|e| matches!(e.state, ListState::Ready | ListState::Draining | ListState::Gone))
         );
-        self.note(Event::Told { whole, nodes: Arc::new(records) });
+        self.note(Event::Told { conductor: k, whole, nodes: Arc::new(records) });
         let how = if whole { ListHow::Full } else { ListHow::Delta };
         self.tell(k, Input::List { how, entries });
     }
@@ -1354,9 +1356,19 @@
                     }
                 }
             }
-            Trouble::KillConductor if self.options.baseline.is_some() => {}
-            Trouble::KillConductor if on => self.kill_conductor(0),
-            Trouble::KillConductor => self.start_conductor(0),
+            Trouble::KillConductor(_) | Trouble::RestartConductors(_) if self.options.baseline.is_some() => {}
+            Trouble::KillConductor(conductors) => {
+                for k in conductors.iter() {
+                    if on { self.kill_conductor(*k) } else { self.start_conductor(*k) }
+                }
+            }
+            // In virtual time a restart takes none, and all come at its begin.
+            Trouble::RestartConductors(conductors) => {
+                for k in conductors.iter().filter(|_| on) {
+                    self.kill_conductor(*k);
+                    self.start_conductor(*k);
+                }
+            }
         }
     }
 
--- a/crates/stepspur-rehearsal/src/faults.rs
+++ b/crates/stepspur-rehearsal/src/faults.rs
@@ -65,8 +65,10 @@
     CutOff,
     /// Proxies read nothing: `share`.
     ProxyStalls,
-    /// The conductor is killed outright, and started again at the end.
+    /// Conductors are killed outright, and started again at the end: `share`, all if not told.
     ConductorKill,
+    /// All conductors are told to end and started again, one after the other over the time.
+    ConductorRestart,
 }
 
 /// A fault of a scenario. Which keys a kind takes, its description says; others are refused.
@@ -294,7 +296,16 @@
                     _ => Trouble::Stall(proxies),
                 }
             }
-            FaultKind::ConductorKill => Trouble::KillConductor,
+            FaultKind::ConductorKill => {
+                let all: Vec<usize> = (0..self.conductors as usize).collect();
+                Trouble::KillConductor(match fault.share {
+                    Some(share) => some(all, share, rng),
+                    None => all,
+                })
+            }
+            FaultKind::ConductorRestart => {
+                Trouble::RestartConductors((0..self.conductors as usize).collect())
+            }
         }
     }
 
@@ -410,7 +421,8 @@
         FaultKind::Pauses => (&["share", "every", "pause"], SCOPE),
         FaultKind::FalseReports | FaultKind::FewConnections => (&["share", "times"], SCOPE),
         FaultKind::SlowHandshakes => (&["share", "times"], &["zone", "cell", "of_kind", "server", "delay"]),
-        FaultKind::ListDown | FaultKind::ConductorKill => (&[], &[]),
+        FaultKind::ListDown | FaultKind::ConductorRestart => (&[], &[]),
+        FaultKind::ConductorKill => (&[], &["share"]),
         FaultKind::ZoneLoss => (&["zone"], &["proxies"]),
         FaultKind::ZoneCut => (&["zone"], &[]),
         FaultKind::LinkCut => (&["zone", "to_zone"], &[]),
--- a/crates/stepspur-rehearsal/src/judge.rs
+++ b/crates/stepspur-rehearsal/src/judge.rs
@@ -131,6 +131,8 @@
     /// When the newest order that it read was decided.
     decided: Micros,
     written: VecDeque<Micros>,
+    /// Whose stream it has, or had last.
+    conductor: usize,
 }
 
 /// What the conductor was told of a server.
@@ -163,14 +165,15 @@
     proxies: BTreeMap<usize, Seen>,
     /// Those that are joined, read, and have nothing to pick: few, so that time passing costs little.
     empty: BTreeSet<usize>,
-    told: BTreeMap<SocketAddr, Told>,
+    /// What each conductor was told.
+    told: BTreeMap<usize, BTreeMap<SocketAddr, Told>>,
     fresh: BTreeMap<SocketAddr, Fresh>,
     /// Attempts of a client's try whose effect has taken place, of classes that must not run twice.
     effects: BTreeMap<(RequestId, u32), (u32, SocketAddr)>,
     /// Earlier attempts of a client's try that may have run.
     ran: BTreeMap<(RequestId, u32), Vec<(Micros, SocketAddr)>>,
     /// Lines in the channel: when they came in and when they were read.
-    lines: Vec<(Micros, f64, String)>,
+    lines: BTreeMap<usize, Vec<(Micros, f64, String)>>,
     breaks: BTreeMap<Rule, Break>,
 }
 
@@ -185,7 +188,7 @@
             fresh: BTreeMap::new(),
             effects: BTreeMap::new(),
             ran: BTreeMap::new(),
-            lines: Vec::new(),
+            lines: BTreeMap::new(),
             breaks: BTreeMap::new(),
         }
     }
@@ -202,8 +205,9 @@
                 let lines = standing.iter().copied().collect();
                 self.proxies.insert(*proxy, Seen { lines, reads: true, ..Seen::default() });
             }
-            Event::Up { proxy } => {
+            Event::Up { proxy, conductor } => {
                 let seen = self.proxies.entry(*proxy).or_default();
+                seen.conductor = *conductor;
                 (seen.joined, seen.bare, seen.reads) = (Some(at), None, true);
                 seen.written.clear();
             }
@@ -213,9 +217,9 @@
             }
             Event::Reads { proxy, on } => self.proxies.entry(*proxy).or_default().reads &= *on,
             Event::Order { proxy, order, lines, .. } => self.order(at, *proxy, order, *lines),
-            Event::Told { whole, nodes } => self.list(at, *whole, nodes),
+            Event::Told { conductor, whole, nodes } => self.list(at, *conductor, *whole, nodes),
             // A new conductor knows nothing yet.
-            Event::Conductor { .. } => self.told.clear(),
+            Event::Conductor { conductor, .. } => _ = self.told.remove(conductor),
             Event::ServerStarted { server, capacity, cold_from, cold } => {
                 let (started, capacity, cold_from, cold) = (at, *capacity, *cold_from, *cold);
                 self.fresh.insert(*server, Fresh { started, capacity, cold_from, cold, ..Fresh::default() });
@@ -225,7 +229,7 @@
             Event::Arrived(arrival) => self.arrival(at, arrival),
         }
         if let Event::ProxyStarted { proxy, .. }
-        | Event::Up { proxy }
+        | Event::Up { proxy, .. }
         | Event::Down { proxy }
         | Event::Reads { proxy, .. } = event
         {
@@ -276,8 +280,9 @@
         let many = seen.written.len();
         // One that does not read holds its own frames up; they wait in its socket, not in the channel.
         if seen.reads {
-            self.lines.push((order.decided_us, lines, format!("order for proxy {proxy}")));
-            self.lines.push((at, -lines, String::new()));
+            let channel = self.lines.entry(seen.conductor).or_default();
+            channel.push((order.decided_us, lines, format!("order for proxy {proxy}")));
+            channel.push((at, -lines, String::new()));
         }
         if messages_max > 0 && many > messages_max as usize {
             self.broken(Rule::Queue, at, format!("proxy {proxy} was written {many} messages in the window"));
@@ -286,15 +291,16 @@
         self.look_for_bare(at);
     }
 
-    fn list(&mut self, at: Micros, whole: bool, nodes: &[NodeRecord]) {
+    fn list(&mut self, at: Micros, conductor: usize, whole: bool, nodes: &[NodeRecord]) {
+        let all = self.told.entry(conductor).or_default();
         let named: BTreeSet<_> = nodes.iter().map(|n| n.address).collect();
         if whole && !self.figures.drain_binds_alone {
             let ready: Vec<_> =
-                self.told.iter().filter(|(_, t)| t.state == NodeState::Ready).map(|(a, _)| *a).collect();
+                all.iter().filter(|(_, t)| t.state == NodeState::Ready).map(|(a, _)| *a).collect();
             let lacking = ready.iter().filter(|a| !named.contains(a)).count();
             // A list that lacks most is not news of servers but of the list: see docs/running.md.
             if lacking as f64 <= self.figures.loss_max * ready.len() as f64 {
-                for (_, told) in self.told.iter_mut().filter(|(a, _)| !named.contains(a)) {
+                for (_, told) in all.iter_mut().filter(|(a, _)| !named.contains(a)) {
                     if told.state != NodeState::Gone {
                         (told.state, told.at) = (NodeState::Gone, at);
                     }
@@ -303,12 +309,8 @@
         }
         for node in nodes {
             let started = node.started_unix_ms * 1000;
-            let told = self.told.entry(node.address).or_insert(Told {
-                state: node.state,
-                at,
-                started,
-                start_at: at,
-            });
+            let told =
+                all.entry(node.address).or_insert(Told { state: node.state, at, started, start_at: at });
             if told.state != node.state {
                 (told.state, told.at) = (node.state, at);
             }
@@ -324,12 +326,13 @@
             return;
         }
         let warm = |t: &Told| t.state == NodeState::Ready && t.started + self.figures.cold <= at;
-        let might = self.told.values().any(warm);
+        let might = |conductor: &usize| self.told.get(conductor).is_some_and(|t| t.values().any(warm));
+        let might: BTreeSet<usize> = self.told.keys().copied().filter(might).collect();
         let max = self.figures.unserved_max;
         let mut found = Vec::new();
         for proxy in &self.empty {
             let Some(seen) = self.proxies.get_mut(proxy) else { continue };
-            let Some(joined) = seen.joined.filter(|_| might) else {
+            let Some(joined) = seen.joined.filter(|_| might.contains(&seen.conductor)) else {
                 seen.bare = None;
                 continue;
             };
@@ -350,9 +353,15 @@
         self.push(at, arrival);
     }
 
+    /// What the conductor in charge of the sender was told of the server.
+    fn told(&self, arrival: &Arrival) -> Option<&Told> {
+        let conductor = self.proxies.get(&arrival.proxy)?.conductor;
+        self.told.get(&conductor)?.get(&arrival.server)
+    }
+
     /// Rule 3.
     fn drain(&mut self, at: Micros, arrival: &Arrival) {
-        let Some(told) = self.told.get(&arrival.server) else { return };
+        let Some(told) = self.told(arrival) else { return };
         let binds = match told.state {
             NodeState::Ready => false,
             NodeState::Draining => true,
@@ -429,12 +438,13 @@
 
     /// Rule 4: work that comes to a cold server.
     fn push(&mut self, at: Micros, arrival: &Arrival) {
+        let told = self.told(arrival).cloned();
         let Some(fresh) = self.fresh.get_mut(&arrival.server) else { return };
         if fresh.cold.is_some_and(|cold| at > fresh.started + cold) {
             return;
         }
         let grace = self.figures.drain_grace;
-        let told = self.told.get(&arrival.server).filter(|t| t.started + 1_000_000 > fresh.started);
+        let told = told.filter(|t| t.started + 1_000_000 > fresh.started);
         let seen = self.proxies.get(&arrival.proxy).filter(|p| p.joined.is_some());
         let knew = told.is_some_and(|t| {
             seen.is_some_and(|p| {
@@ -480,7 +490,12 @@
 
     /// Rule 5: lines between their decision and their being read.
     fn queue(&mut self) {
-        let mut lines = std::mem::take(&mut self.lines);
+        for lines in std::mem::take(&mut self.lines).into_values() {
+            self.channel(lines);
+        }
+    }
+
+    fn channel(&mut self, mut lines: Vec<(Micros, f64, String)>) {
         // At the same time those that leave go first.
         lines.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let (mut waiting, mut worst) = (0.0, None::<(f64, Micros, String)>);
--- a/crates/stepspur-rehearsal/src/launch.rs
+++ b/crates/stepspur-rehearsal/src/launch.rs
@@ -6,6 +6,7 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde::{Deserialize, Serialize};
 use stepspur_conductor::{Conductor, Config, source};
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -61,7 +62,14 @@
 #[derive(Debug)]
 enum Kind {
     Program { child: Child, settings: Settings },
-    Inside { kill: oneshot::Sender<()>, thread: std::thread::JoinHandle<()> },
+    Inside { end: oneshot::Sender<End>, thread: std::thread::JoinHandle<()> },
+}
+
+/// How one inside this process ends.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Killed,
+    Told,
 }
 
 /// A file of settings that goes with the process.
@@ -75,6 +83,8 @@
 }
 
 const START: Duration = Duration::from_secs(20);
+/// One that was told to end has so long.
+const END: Duration = Duration::from_secs(10);
 
 impl Launcher {
     /// Starts a conductor and waits until it listens.
@@ -115,7 +125,7 @@
 }
 
 async fn start_inside(config: Config) -> Result<Running, LaunchError> {
-    let (kill, killed) = oneshot::channel();
+    let (end, ended) = oneshot::channel();
     let (tell, told) = oneshot::channel::<Result<SocketAddr, LaunchError>>();
     let thread = std::thread::Builder::new().name("conductor".into()).spawn(move || {
         let built = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
@@ -128,9 +138,11 @@
             match Conductor::start(config, source).await {
                 Ok(conductor) => {
                     let _ = tell.send(Ok(conductor.address()));
-                    let _ = killed.await;
-                    // Neither stopped nor dropped in order: its tasks go with the runtime.
-                    std::mem::forget(conductor);
+                    match ended.await {
+                        Ok(End::Told) => conductor.stop().await,
+                        // Neither stopped nor dropped in order: its tasks go with the runtime.
+                        Ok(End::Killed) | Err(_) => std::mem::forget(conductor),
+                    }
                 }
                 Err(error) => drop(tell.send(Err(error.into()))),
             }
@@ -138,7 +150,7 @@
         runtime.shutdown_background();
     })?;
     let address = told.await.map_err(|_| LaunchError::Silent)??;
-    Ok(Running { address, kind: Kind::Inside { kill, thread } })
+    Ok(Running { address, kind: Kind::Inside { end, thread } })
 }
 
 impl Running {
@@ -157,8 +169,26 @@
                 let _ = child.kill().await;
                 drop(settings);
             }
-            Kind::Inside { kill, thread } => {
-                let _ = kill.send(());
+            Kind::Inside { end, thread } => {
+                let _ = end.send(End::Killed);
+                let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+            }
+        }
+    }
+
+    /// Tells it to end (SIGTERM) and waits until it has; one that does not is killed.
+    pub async fn terminate(self) {
+        match self.kind {
+            Kind::Program { mut child, settings } => {
+                let pid = child.id().and_then(|pid| Pid::from_raw(pid as i32));
+                let told = pid.is_some_and(|pid| kill_process(pid, Signal::TERM).is_ok());
+                if !told || timeout(END, child.wait()).await.is_err() {
+                    let _ = child.kill().await;
+                }
+                drop(settings);
+            }
+            Kind::Inside { end, thread } => {
+                let _ = end.send(End::Told);
                 let _ = tokio::task::spawn_blocking(move || thread.join()).await;
             }
         }
--- a/crates/stepspur-rehearsal/src/plan.rs
+++ b/crates/stepspur-rehearsal/src/plan.rs
@@ -230,8 +230,10 @@
     CutOff(Vec<usize>),
     /// Proxies read nothing from their streams.
     Stall(Vec<usize>),
-    /// The conductor is killed outright; at the end it is started again.
-    KillConductor,
+    /// Conductors are killed outright, all at once; at the end they are started again.
+    KillConductor(Vec<usize>),
+    /// Conductors are told to end (SIGTERM) and started again, one after the other over the time.
+    RestartConductors(Vec<usize>),
 }
 
 /// A trouble and its time.
@@ -250,7 +252,11 @@
 impl Strike {
     /// True: it strikes before the conductor starts and the first proxy joins.
     pub fn from_the_start(&self) -> bool {
-        self.at.is_zero() && !matches!(self.trouble, Trouble::Release(..) | Trouble::KillConductor)
+        self.at.is_zero()
+            && !matches!(
+                self.trouble,
+                Trouble::Release(..) | Trouble::KillConductor(_) | Trouble::RestartConductors(_)
+            )
     }
 }
 
@@ -285,8 +291,10 @@
     pub clients: Clients,
     /// The node list tells changes so late.
     pub list_delay: Duration,
-    /// The zone of the conductor.
+    /// The zone of the first conductor; the next stand in the zones that follow.
     pub conductor_zone: usize,
+    /// Conductors: processes of their own that share nothing.
+    pub conductors: usize,
     /// The rules' figures.
     pub rules: Rules,
     /// The conductor's settings; addresses and source are set when it is started.
--- a/crates/stepspur-rehearsal/src/proxy.rs
+++ b/crates/stepspur-rehearsal/src/proxy.rs
@@ -192,13 +192,24 @@
         }
     }
 
-    /// Keeps a stream to the conductor, by the relay before it, until stopped.
-    pub async fn run(self: Arc<Self>, conductor: SocketAddr, stop: CancellationToken) {
+    /// Keeps a stream to one of the conductors, by the relay before each, until stopped: a stream that breaks is
+    /// dialled again at the same, then at the next.
+    pub async fn run(self: Arc<Self>, conductors: Vec<SocketAddr>, stop: CancellationToken) {
         let keep = async {
-            let mut wait = self.redial;
+            let (mut wait, mut at) = (self.redial, self.index % conductors.len().max(1));
             loop {
-                let reached = self.reaches() && self.stream(conductor).await;
-                wait = if reached { self.redial } else { (wait * 2).min(self.redial * 8) };
+                let reached = match conductors.get(at) {
+                    Some(address) if self.reaches() => self.stream(at, *address).await,
+                    _ => false,
+                };
+                at = if reached { at } else { (at + 1) % conductors.len().max(1) };
+                // It waits longer once all have been tried.
+                let tried_all = at == self.index % conductors.len().max(1);
+                wait = match reached {
+                    true => self.redial,
+                    false if tried_all => (wait * 2).min(self.redial * 8),
+                    false => wait,
+                };
                 let jitter = lock(&self.rng).random_range(0.5..1.5);
                 tokio::time::sleep(wait.mul_f64(jitter)).await;
             }
@@ -214,7 +225,7 @@
     }
 
     /// One stream from its dialling to its end; true if it was welcomed.
-    async fn stream(&self, address: SocketAddr) -> bool {
+    async fn stream(&self, conductor: usize, address: SocketAddr) -> bool {
         let Ok(socket) = relay::dial(self.source, address).await else { return false };
         let socket = match &self.identity {
             None => Either::Left(socket),
@@ -246,7 +257,7 @@
         let Ok(Some(Ok(first))) = timeout(PATIENCE, stream.next()).await else { return false };
         let Some(from_conductor::Kind::Welcome(welcome)) = first.kind else { return false };
         lock(&self.model).welcome(first.epoch);
-        self.trace.note(Event::Up { proxy: self.index });
+        self.trace.note(Event::Up { proxy: self.index, conductor });
         self.follow(&mut stream, &welcome).await;
         self.trace.note(Event::Down { proxy: self.index });
         true
--- a/crates/stepspur-rehearsal/src/registry.rs
+++ b/crates/stepspur-rehearsal/src/registry.rs
@@ -90,9 +90,9 @@
         self.version.send_replace(listed.version);
     }
 
-    /// Serves the list until it is stopped.
-    pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
-        let router = Router::new().route("/v1/nodes", get(answer)).with_state(self);
+    /// Serves the list to one conductor, which is known by the listener that it calls, until it is stopped.
+    pub async fn serve(self: Arc<Self>, conductor: usize, listener: TcpListener, stop: CancellationToken) {
+        let router = Router::new().route("/v1/nodes", get(answer)).with_state((self, conductor));
         let serve = axum::serve(listener, router).into_future();
         tokio::select! {
             _ = serve => {}
@@ -133,18 +133,21 @@
         Ok((listed.version > version).then_some(answer))
     }
 
-    fn tell(&self, answer: ListAnswer) -> Response {
+    fn tell(&self, conductor: usize, answer: ListAnswer) -> Response {
         let whole = answer.nodes.is_some();
         let nodes = answer.nodes.as_ref().or(answer.changes.as_ref()).cloned().unwrap_or_default();
-        self.trace.note(Event::Told { whole, nodes: Arc::new(nodes) });
+        self.trace.note(Event::Told { conductor, whole, nodes: Arc::new(nodes) });
         Json(answer).into_response()
     }
 }
 
-async fn answer(State(registry): State<Arc<Registry>>, Query(ask): Query<Since>) -> Response {
+async fn answer(
+    State((registry, conductor)): State<(Arc<Registry>, usize)>,
+    Query(ask): Query<Since>,
+) -> Response {
     let Some(version) = ask.since else {
         return match registry.whole() {
-            Ok(answer) => registry.tell(answer),
+            Ok(answer) => registry.tell(conductor, answer),
             Err(status) => status.into_response(),
         };
     };
@@ -152,7 +155,7 @@
     let mut newest = registry.version.subscribe();
     loop {
         match registry.since(version) {
-            Ok(Some(answer)) => return registry.tell(answer),
+            Ok(Some(answer)) => return registry.tell(conductor, answer),
             Ok(None) => {}
             Err(status) => return status.into_response(),
         }
--- a/crates/stepspur-rehearsal/src/replay.rs
+++ b/crates/stepspur-rehearsal/src/replay.rs
@@ -336,6 +336,7 @@
                 key_zipf: day.traffic.key_zipf,
             },
             list_delay: span(day.discovery.notice),
+            conductors: 1,
             conductor_zone: conductor_zones.first().copied().unwrap_or(0),
             rules: self.rules(),
             config: self.config()?,
--- a/crates/stepspur-rehearsal/src/run.rs
+++ b/crates/stepspur-rehearsal/src/run.rs
@@ -14,6 +14,7 @@
 use stepspur_conductor::config::Source;
 use stepspur_conductor::source::{NodeRecord, NodeState};
 use stepspur_identity::keys::KeyFault;
+use stepspur_model::Micros;
 use stepspur_proto::v1;
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, watch};
@@ -149,9 +150,15 @@
     }
 }
 
+/// A conductor's place: who runs there now, where it listens, and its settings, with a list of its own.
+struct Slot {
+    config: Config,
+    running: Mutex<Option<Running>>,
+    address: watch::Sender<Option<SocketAddr>>,
+}
+
 struct World {
     plan: Arc<Plan>,
-    config: Config,
     trace: Arc<Trace>,
     links: Arc<Links>,
     registry: Arc<Registry>,
@@ -159,8 +166,7 @@
     proxies: Vec<Arc<Proxy>>,
     crowd: Arc<Crowd>,
     launcher: Launcher,
-    conductor: Mutex<Option<Running>>,
-    address: watch::Sender<Option<SocketAddr>>,
+    conductors: Vec<Slot>,
     active: std::sync::Mutex<Vec<String>>,
     samples: std::sync::Mutex<Vec<Sample>>,
     places: BTreeMap<SocketAddr, usize>,
@@ -197,7 +203,9 @@
     for strike in plan.strikes.iter().filter(|s| s.from_the_start()) {
         world.set(&strike.trouble, true).await;
     }
-    world.start_conductor().await?;
+    for conductor in 0..world.conductors.len() {
+        world.start_conductor(conductor).await?;
+    }
     let begin = Instant::now() + LEAD;
     let lag = tokio::spawn(measure_lag(stop.clone()));
     let mut strikes = JoinSet::new();
@@ -216,7 +224,9 @@
     strikes.shutdown().await;
     let events = world.trace.take();
     stop.cancel();
-    world.kill_conductor().await;
+    for conductor in 0..world.conductors.len() {
+        world.kill_conductor(conductor).await;
+    }
     world.tasks.close();
     world.tasks.wait().await;
     let lag = lag.await.unwrap_or_default();
@@ -230,6 +240,7 @@
     };
     let outcomes = lock(&world.crowd.outcomes);
     let fallen = events.iter().filter(|(_, e)| matches!(e, Event::Fell { .. })).count();
+    let away = longest_away(&events, begin_at + plan.length.as_micros() as u64);
     let bands = plan.strikes.iter().map(|s| {
         let from = s.at.as_secs_f64();
         (s.name.clone(), from..(from + s.lasts.as_secs_f64()).min(plan.length.as_secs_f64().max(from)))
@@ -239,7 +250,7 @@
         trains: plan.trains.clone(),
         zones: plan.zones.iter().map(|z| z.0.clone()).collect(),
         phases: plan.phases.iter().enumerate().map(|(k, p)| (p.0.clone(), outcomes.of_phase(k))).collect(),
-        expectations: expectations(&plan, &outcomes, fallen),
+        expectations: expectations(&plan, &outcomes, fallen, away),
         fallen,
         bands: bands.collect(),
         pace: length / (length + fell_behind.as_secs_f64()),
@@ -267,7 +278,7 @@
     Usage::of(std::process::id()).unwrap_or_default().cpu_s
 }
 
-fn expectations(plan: &Plan, outcomes: &Outcomes, fallen: usize) -> Vec<Expected> {
+fn expectations(plan: &Plan, outcomes: &Outcomes, fallen: usize, away: Duration) -> Vec<Expected> {
     let mut all = Vec::new();
     for expect in &plan.expectations {
         let phase = expect.phase.as_ref().and_then(|name| plan.phases.iter().position(|p| p.0 == *name));
@@ -304,6 +315,10 @@
                     let value = fallen as f64;
                     (format!("{limit:.0} servers fall over at most"), value, value <= limit)
                 }
+                Bound::Away => {
+                    let value = away.as_secs_f64();
+                    (format!("no proxy is without a conductor for over {limit:.2} s"), value, value <= limit)
+                }
             };
             all.push(Expected { words, value, met });
         }
@@ -311,6 +326,21 @@
     all
 }
 
+/// The longest time that a proxy which had a conductor was without one, up to `end`.
+fn longest_away(events: &[(Micros, Event)], end: Micros) -> Duration {
+    let (mut down, mut longest) = (BTreeMap::new(), 0);
+    for (at, event) in events.iter().filter(|(at, _)| *at <= end) {
+        match event {
+            Event::Down { proxy } => _ = down.insert(*proxy, *at),
+            Event::Up { proxy, .. } => {
+                longest = longest.max(down.remove(proxy).map_or(0, |since| at - since))
+            }
+            _ => {}
+        }
+    }
+    Duration::from_micros(down.into_values().map(|since| end - since).fold(longest, Micros::max))
+}
+
 /// How late timers fire: at the 99th percentile, and at most.
 async fn measure_lag(stop: CancellationToken) -> (Duration, Duration) {
     const EVERY: Duration = Duration::from_millis(10);
@@ -342,19 +372,10 @@
             tasks.spawn(Arc::clone(&node).run(socket, stop.clone()));
             nodes.push(node);
         }
-        let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
-        let list_address = listener.local_addr()?;
-        tasks.spawn(Arc::clone(&registry).serve(listener, stop.clone()));
         let mut config = plan.config.clone();
         config.listen.address = SocketAddr::from(([127, 0, 0, 1], 0));
         config.status.address = None;
-        config.source = Source::Http {
-            address: list_address,
-            path: "/v1/nodes".into(),
-            poll: Duration::from_secs(5),
-            timeout: Duration::from_secs(1),
-            doubt: config.source.doubt().clone(),
-        };
+        config.fleet.conductors = config.fleet.conductors.max(plan.conductors as u32);
         let keys = if plan.identity { Some(Arc::new(DayKeys::new()?)) } else { None };
         if let Some(keys) = &keys {
             config.listen.plain_on_loopback = false;
@@ -372,18 +393,32 @@
             })
             .collect::<Result<_, KeyFault>>()?;
         let crowd = Crowd::new(Arc::clone(&plan), proxies.clone());
-        let (address, conductor) = (watch::Sender::new(None), Mutex::new(None));
         let places = nodes.iter().map(|n| (n.address, n.index)).collect();
-        let front = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
-        let front_address = front.local_addr()?;
-        let (zone, conductors) = (plan.conductor_zone, address.subscribe());
-        tasks.spawn(relay::before_conductor(front, conductors, zone, Arc::clone(&links), stop.clone()));
+        let (mut conductors, mut fronts) = (Vec::new(), Vec::new());
+        for k in 0..plan.conductors.max(1) {
+            let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
+            let source = Source::Http {
+                address: listener.local_addr()?,
+                path: "/v1/nodes".into(),
+                poll: Duration::from_secs(5),
+                timeout: Duration::from_secs(1),
+                doubt: config.source.doubt().clone(),
+            };
+            tasks.spawn(Arc::clone(&registry).serve(k, listener, stop.clone()));
+            let (address, running) = (watch::Sender::new(None), Mutex::new(None));
+            let front = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
+            fronts.push(front.local_addr()?);
+            let zone = (plan.conductor_zone + k) % plan.zones.len().max(1);
+            let before =
+                relay::before_conductor(front, address.subscribe(), zone, Arc::clone(&links), stop.clone());
+            tasks.spawn(before);
+            conductors.push(Slot { config: Config { source, ..config.clone() }, running, address });
+        }
         for proxy in &proxies {
-            tasks.spawn(Arc::clone(proxy).run(front_address, stop.clone()));
+            tasks.spawn(Arc::clone(proxy).run(fronts.clone(), stop.clone()));
         }
         let world = Self {
             plan,
-            config,
             trace,
             links,
             registry,
@@ -391,8 +426,7 @@
             proxies,
             crowd,
             launcher,
-            conductor,
-            address,
+            conductors,
             active: std::sync::Mutex::default(),
             samples: std::sync::Mutex::default(),
             places,
@@ -404,25 +438,50 @@
         Ok(Arc::new(world))
     }
 
-    async fn start_conductor(&self) -> Result<(), LaunchError> {
-        let mut conductor = self.conductor.lock().await;
-        self.trace.note(Event::Conductor { up: true });
-        let running = self.launcher.start(&self.config).await?;
-        self.address.send_replace(Some(running.address));
-        *conductor = Some(running);
+    async fn start_conductor(&self, conductor: usize) -> Result<(), LaunchError> {
+        let slot = &self.conductors[conductor];
+        let mut place = slot.running.lock().await;
+        self.trace.note(Event::Conductor { conductor, up: true });
+        let running = self.launcher.start(&slot.config).await?;
+        slot.address.send_replace(Some(running.address));
+        *place = Some(running);
         Ok(())
     }
 
-    async fn kill_conductor(&self) {
-        let running = self.conductor.lock().await.take();
-        self.address.send_replace(None);
+    async fn kill_conductor(&self, conductor: usize) {
+        let slot = &self.conductors[conductor];
+        let running = slot.running.lock().await.take();
+        slot.address.send_replace(None);
         if let Some(running) = running {
-            if let Some(used) = running.pid().and_then(|pid| Usage::of(pid).ok()) {
-                *lock(&self.conductor_cpu) += used.cpu_s;
-            }
+            self.count_cpu(&running);
             running.kill().await;
         }
-        self.trace.note(Event::Conductor { up: false });
+        self.trace.note(Event::Conductor { conductor, up: false });
+    }
+
+    /// Told to end, it says goodbye to its proxies; it is started again at once.
+    async fn restart_conductor(&self, conductor: usize) {
+        let slot = &self.conductors[conductor];
+        let running = slot.running.lock().await.take();
+        if let Some(running) = running {
+            self.count_cpu(&running);
+            running.terminate().await;
+        }
+        slot.address.send_replace(None);
+        self.trace.note(Event::Conductor { conductor, up: false });
+        self.start_again(conductor).await;
+    }
+
+    async fn start_again(&self, conductor: usize) {
+        if let Err(error) = self.start_conductor(conductor).await {
+            tracing::error!(event = "conductor_lost", conductor, %error);
+        }
+    }
+
+    fn count_cpu(&self, running: &Running) {
+        if let Some(used) = running.pid().and_then(|pid| Usage::of(pid).ok()) {
+            *lock(&self.conductor_cpu) += used.cpu_s;
+        }
     }
 
     async fn tell(
@@ -535,6 +594,13 @@
         lock(&self.active).push(strike.name.clone());
         match &strike.trouble {
             Trouble::Release(drain, steps) => self.release(*drain, steps, begin + strike.at).await,
+            Trouble::RestartConductors(conductors) => {
+                let gap = strike.lasts / (conductors.len() as u32).max(1);
+                for (k, conductor) in conductors.iter().enumerate() {
+                    sleep_until(begin + strike.at + gap * k as u32).await;
+                    self.restart_conductor(*conductor).await;
+                }
+            }
             trouble => {
                 if !strike.from_the_start() {
                     self.set(trouble, true).await;
@@ -648,12 +714,17 @@
             }
             Trouble::CutOff(proxies) => self.proxies(proxies).for_each(|p| cut_off(p, on)),
             Trouble::Stall(proxies) => self.proxies(proxies).for_each(|p| p.fate(|lot| lot.stalled = on)),
-            Trouble::KillConductor if on => self.kill_conductor().await,
-            Trouble::KillConductor => {
-                if let Err(error) = self.start_conductor().await {
-                    tracing::error!(event = "conductor_lost", %error);
+            Trouble::KillConductor(conductors) => {
+                for conductor in conductors {
+                    if on {
+                        self.kill_conductor(*conductor).await
+                    } else {
+                        self.start_again(*conductor).await
+                    }
                 }
             }
+            // One after the other over its time: see `strike`.
+            Trouble::RestartConductors(_) => {}
         }
     }
 
--- a/crates/stepspur-rehearsal/src/scenario.rs
+++ b/crates/stepspur-rehearsal/src/scenario.rs
@@ -84,6 +84,9 @@
     pub kinds: Vec<Kind>,
     /// Proxies.
     pub proxies: u32,
+    /// Conductors: processes of their own that share nothing; proxies are dealt to them in turn.
+    #[serde(default = "one_conductor")]
+    pub conductors: u32,
     /// How proxies behave.
     #[serde(default)]
     pub proxy: ProxyMake,
@@ -155,6 +158,11 @@
     pub p99_at_most: Option<Duration>,
     /// Servers that fell over in the whole day: so many at most.
     pub fallen_at_most: Option<u32>,
+    /// The longest time that a proxy was without a conductor, once it had one and until the last request was
+    /// asked: this at most.
+    #[serde(default, with = "humantime_serde")]
+    #[schemars(with = "Option<String>")]
+    pub away_at_most: Option<Duration>,
 }
 
 /// A zone.
@@ -282,6 +290,9 @@
 fn one() -> u64 {
     1
 }
+fn one_conductor() -> u32 {
+    1
+}
 fn one_cell() -> usize {
     1
 }
@@ -309,6 +320,7 @@
             (Bound::Lost, self.lost_at_most),
             (Bound::P99, p99),
             (Bound::Fallen, self.fallen_at_most.map(f64::from)),
+            (Bound::Away, self.away_at_most.map(|away| away.as_secs_f64())),
         ];
         all.into_iter().filter_map(|(bound, value)| Some((bound, value?))).collect()
     }
@@ -329,6 +341,8 @@
     P99,
     /// Servers that fell over.
     Fallen,
+    /// The longest time that a proxy was without a conductor, seconds.
+    Away,
 }
 
 impl Scenario {
@@ -396,6 +410,7 @@
             clients: self.clients.clone(),
             list_delay: self.list_delay,
             conductor_zone: 0,
+            conductors: self.conductors as usize,
             rules: self.rules.clone(),
             config,
             strikes,
@@ -423,6 +438,7 @@
         need(self.kinds.iter().any(|k| k.share > 0.0), "kinds: one with a share above 0".into());
         need(!self.classes.is_empty(), "classes: one at least".into());
         need(self.classes.iter().any(|c| c.share > 0.0), "classes: one with a share above 0".into());
+        need((1..=9).contains(&self.conductors), "conductors: 1 to 9".into());
         need((1..=1000).contains(&self.cells), "cells: 1 to 1000".into());
         for class in &self.classes {
             let name = &class.name;
--- a/crates/stepspur-rehearsal/src/trace.rs
+++ b/crates/stepspur-rehearsal/src/trace.rs
@@ -50,18 +50,18 @@
 pub enum Event {
     /// A proxy started with a standing table.
     ProxyStarted { proxy: usize, standing: Vec<SocketAddr> },
-    /// A proxy's stream was welcomed.
-    Up { proxy: usize },
+    /// A proxy's stream was welcomed by a conductor.
+    Up { proxy: usize, conductor: usize },
     /// A proxy's stream ended.
     Down { proxy: usize },
     /// A proxy stopped or began reading.
     Reads { proxy: usize, on: bool },
     /// A proxy read an order; what it cost in the channel.
     Order { proxy: usize, epoch: u64, order: Arc<v1::Order>, lines: f64 },
-    /// The node list told the conductor: the whole list or changes.
-    Told { whole: bool, nodes: Arc<Vec<NodeRecord>> },
-    /// The conductor was killed, or told to start again.
-    Conductor { up: bool },
+    /// The node list told a conductor: the whole list or changes.
+    Told { conductor: usize, whole: bool, nodes: Arc<Vec<NodeRecord>> },
+    /// A conductor has ended, or was told to start again.
+    Conductor { conductor: usize, up: bool },
     /// A server started cold: its work a second when warm, in seconds.
     /// `cold` is none where requests warm it up: then only its falling over tells.
     ServerStarted { server: SocketAddr, capacity: f64, cold_from: f64, cold: Option<Micros> },
--- a/crates/stepspur-rehearsal/tests/judge.rs
+++ b/crates/stepspur-rehearsal/tests/judge.rs
@@ -31,7 +31,7 @@
 }
 
 fn told(whole: bool, nodes: &[NodeRecord]) -> Event {
-    Event::Told { whole, nodes: Arc::new(nodes.to_vec()) }
+    Event::Told { conductor: 0, whole, nodes: Arc::new(nodes.to_vec()) }
 }
 
 fn order(proxy: usize, decided_ms: u64, lines: &[(u8, f32)]) -> Event {
@@ -51,9 +51,9 @@
     let nodes = [node(1, NodeState::Ready, 0), node(2, NodeState::Ready, 0)];
     vec![
         (0, Event::ProxyStarted { proxy: 0, standing: vec![server(1), server(2)] }),
-        (1, Event::Conductor { up: true }),
+        (1, Event::Conductor { conductor: 0, up: true }),
         (2, told(true, &nodes)),
-        (3, Event::Up { proxy: 0 }),
+        (3, Event::Up { proxy: 0, conductor: 0 }),
     ]
 }
 
@@ -79,12 +79,15 @@
     let out = |k: u8| v1::Withdrawal { server: Some(server(k).into()), out: true };
     let withdrawn = v1::Order { withdrawals: vec![out(1), out(2)], ..Default::default() };
     let all_out = Event::Order { proxy: 0, epoch: 1, order: Arc::new(withdrawn), lines: 1.0 };
-    assert_eq!(broken(as_it_is, vec![(100, all_out), (2000, Event::Up { proxy: 9 })]), [Rule::Route]);
+    assert_eq!(
+        broken(as_it_is, vec![(100, all_out), (2000, Event::Up { proxy: 9, conductor: 0 })]),
+        [Rule::Route]
+    );
     // No duty while its stream is broken, while nobody is ready, or while all that are ready are cold.
     let left = vec![
         (100, order(0, 90, &[(1, 0.0), (2, 0.0)])),
         (200, Event::Down { proxy: 0 }),
-        (5000, Event::Up { proxy: 9 }),
+        (5000, Event::Up { proxy: 9, conductor: 0 }),
     ];
     assert_eq!(broken(as_it_is, left), []);
     let cold = [node(1, NodeState::Ready, BEGIN), node(2, NodeState::Draining, 0)];
@@ -167,7 +170,7 @@
         events
     };
     assert_eq!(broken(as_it_is, with(200, told(false, &[node(1, NodeState::Ready, 0)]))), []);
-    assert_eq!(broken(as_it_is, with(2500, Event::Up { proxy: 0 })), []);
+    assert_eq!(broken(as_it_is, with(2500, Event::Up { proxy: 0, conductor: 0 })), []);
     assert_eq!(broken(as_it_is, with(200, Event::Down { proxy: 0 })), []);
     assert_eq!(broken(as_it_is, with(200, Event::Reads { proxy: 0, on: false })), []);
     // A whole list that lacks one of two is news; one that lacks both is doubted.
