Add the council's core: a replicated log, duties by leases with fencing tokens, sans-IO

Need: work that exactly one conductor may do (issue on duties).

Seen in the simulation and mended: a retired member and one removed while cut off went on renewing leases by which they could not act, so that their duties were held by nobody; the first asks no more, the second fetches what was agreed.

--- /dev/null
+++ b/crates/stepspur-council/src/member.rs
@@ -0,0 +1,510 @@
+//! A conductor of the council: a voting member, or one that only follows; the duties that it holds, and those that it
+//! grants while it leads.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+
+use crate::core::{Change, Core, Effect, Question, Refused, Save, Stored};
+use crate::duty::{Changed, Command, Duties, DutyName, Token};
+use crate::ids::{Index, MemberId, Micros};
+use crate::lease::{Holder, Keeper};
+use crate::log::{Entry, Payload, Voters};
+use crate::message::{Message, Note};
+use crate::rendezvous::best;
+use crate::settings::Settings;
+
+/// What conductors of a council write to each other.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Peer {
+    /// Between members that vote.
+    Log(Message),
+    /// To the leader: I hold duties, or would. One message for all of them.
+    Renew {
+        /// Told back with the answer.
+        number: u64,
+        /// How much of the duties it wants, against others; 0: none that it does not hold.
+        weight: f64,
+        /// Beginnings of the names of duties that it would hold.
+        wants: Vec<String>,
+    },
+    /// The answer: leases run from when number `number` was asked, by all that was agreed up to `applied`.
+    Renewed {
+        /// Of the request.
+        number: u64,
+        /// The leader had applied so much.
+        applied: Index,
+    },
+    /// To the leader: agree on this.
+    Order {
+        /// Told back with a refusal.
+        number: u64,
+        /// The command.
+        command: Bytes,
+    },
+    /// The asked one does not lead, or takes no more; this one may.
+    Elsewhere {
+        /// Of the request.
+        number: u64,
+        /// Who leads, as far as it knows.
+        leader: Option<MemberId>,
+    },
+    /// From one that only follows, to any member: what was agreed from here on?
+    Fetch {
+        /// The next entry that it wants.
+        from: Index,
+    },
+    /// The answer: entries that are agreed, none if there are no newer ones.
+    Fetched {
+        /// They.
+        entries: Vec<Entry>,
+        /// Who leads, as far as the answerer knows.
+        leader: Option<MemberId>,
+    },
+    /// The answer to one that is behind the log: the state after an entry.
+    FetchedState {
+        /// The entry.
+        index: Index,
+        /// The state.
+        state: Bytes,
+        /// Who leads, as far as the answerer knows.
+        leader: Option<MemberId>,
+    },
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    /// Write to a conductor.
+    Send(MemberId, Peer),
+    /// Bring to disk, and tell [`Member::saved`].
+    Save(Save),
+    /// A duty has another holder, none, or one that must stop.
+    Changed(Changed),
+    /// For the log.
+    Note(Note),
+}
+
+/// A request that waits until it is sure that its leader leads.
+#[derive(Clone, Debug)]
+struct Waiting {
+    question: Question,
+    confirmed: bool,
+    /// What was written before it was asked counts in its answer.
+    upto: Index,
+    from: MemberId,
+    number: u64,
+}
+
+/// One that would hold duties.
+#[derive(Clone, Debug)]
+struct Applicant {
+    weight: f64,
+    wants: Vec<String>,
+}
+
+/// Grants of one entry at most.
+const GRANTS: usize = 256;
+/// Names that a conductor may want.
+const WANTS: usize = 64;
+
+/// A conductor of the council.
+#[derive(Clone, Debug)]
+pub struct Member {
+    core: Core,
+    set: Settings,
+    voters: Voters,
+    duties: Duties,
+    keeper: Option<Keeper>,
+    applicants: BTreeMap<MemberId, Applicant>,
+    /// Duties whose grant is written and not applied yet.
+    proposed: BTreeMap<DutyName, Index>,
+    waiting: VecDeque<Waiting>,
+    holder: Holder,
+    weight: f64,
+    wants: Vec<String>,
+    /// Who is asked, and fetched from, next.
+    turn: usize,
+    leader: Option<MemberId>,
+    renew_at: Micros,
+    fetch_at: Micros,
+    now: Micros,
+    out: Vec<Out>,
+}
+
+impl Member {
+    /// A conductor as its disk has it; `voters` are those it is told of, for one whose log names none yet.
+    pub fn new(id: MemberId, stored: Stored, voters: Voters, set: Settings, seed: u64, now: Micros) -> Self {
+        let mut member = Self {
+            core: Core::new(id, stored, set.clone(), seed, now),
+            set,
+            voters,
+            duties: Duties::default(),
+            keeper: None,
+            applicants: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            holder: Holder::default(),
+            weight: 0.0,
+            wants: Vec::new(),
+            turn: id.0 as usize,
+            leader: None,
+            renew_at: now,
+            fetch_at: now,
+            now,
+            out: Vec::new(),
+        };
+        member.act();
+        member
+    }
+
+    /// What duties it would hold: beginnings of their names, 64 at most, and how much of them against others.
+    pub fn want(&mut self, wants: impl IntoIterator<Item = String>, weight: f64) {
+        self.wants = wants.into_iter().take(WANTS).collect();
+        self.weight = if weight.is_finite() { weight.max(0.0) } else { 0.0 };
+    }
+
+    /// The log below.
+    pub fn core(&self) -> &Core {
+        &self.core
+    }
+
+    /// What is agreed.
+    pub fn duties(&self) -> &Duties {
+        &self.duties
+    }
+
+    /// Who leads, as far as it knows.
+    pub fn leader(&self) -> Option<MemberId> {
+        self.core.leader().or(self.leader)
+    }
+
+    /// The token by which it may act on a duty now; none if it may not. To be asked right before each act, and told
+    /// with it: a receiver refuses a token lower than one that it has seen ([`crate::Fence`]).
+    pub fn token(&self, duty: &DutyName, now: Micros) -> Option<Token> {
+        let (until, token) = self.holder.until(self.core.id(), duty, &self.duties, &self.set)?;
+        (now < until).then_some(token)
+    }
+
+    /// When [`Member::tick`] is due at the latest.
+    pub fn next_at(&self) -> Micros {
+        let follows = if self.is_written_to() { Micros::MAX } else { self.fetch_at };
+        self.core.next_at().min(self.renew_at).min(follows)
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, now: Micros) -> Vec<Out> {
+        self.now = self.now.max(now);
+        self.core.tick(self.now);
+        self.act();
+        if !self.is_written_to() && self.now >= self.fetch_at {
+            self.fetch_at = self.now + self.set.heartbeat;
+            let from = self.duties.applied().next();
+            self.write_any(Peer::Fetch { from });
+        }
+        self.allot();
+        self.renew();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Something has come from a conductor.
+    pub fn receive(&mut self, now: Micros, from: MemberId, message: Peer) -> Vec<Out> {
+        self.now = self.now.max(now);
+        match message {
+            Peer::Log(message) => {
+                self.core.receive(self.now, from, message);
+                self.act();
+            }
+            Peer::Renew { number, weight, wants } => self.asked_to_renew(from, number, weight, wants),
+            Peer::Renewed { number, applied } => {
+                self.leader = Some(from);
+                self.holder.granted(number, applied);
+            }
+            Peer::Order { number, command } => {
+                if self.core.propose(self.now, command).is_err() {
+                    let leader = self.core.leader();
+                    self.out.push(Out::Send(from, Peer::Elsewhere { number, leader }));
+                }
+                self.act();
+            }
+            Peer::Elsewhere { leader, .. } => {
+                self.leader = leader.filter(|l| *l != from);
+                // Once at once, else at the next turn: two that point at each other must not spin.
+                self.renew_at = self.renew_at.min(self.now + self.set.heartbeat);
+            }
+            Peer::Fetch { from: index } => self.fetched_from(from, index),
+            Peer::Fetched { entries, leader } => {
+                self.leader = leader.or(self.leader);
+                for entry in entries {
+                    if entry.index == self.duties.applied().next() {
+                        self.apply(entry);
+                        self.fetch_at = self.now;
+                    }
+                }
+            }
+            Peer::FetchedState { index, state, leader } => {
+                self.leader = leader.or(self.leader);
+                if index > self.duties.applied() {
+                    self.restore(&state, index);
+                    self.fetch_at = self.now;
+                }
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// The disk has all saves up to this number.
+    pub fn saved(&mut self, now: Micros, number: u64) -> Vec<Out> {
+        self.now = self.now.max(now);
+        self.core.saved(self.now, number);
+        self.act();
+        std::mem::take(&mut self.out)
+    }
+
+    /// The disk has failed.
+    pub fn disk_failed(&mut self, why: impl Into<String>) -> Vec<Out> {
+        self.core.disk_failed(why);
+        self.act();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Agrees on a command, by the leader: what became of it shows in [`Out::Changed`]. A holder that gives a duty up
+    /// or hands it on must have stopped before.
+    pub fn order(&mut self, now: Micros, command: &Command) -> Vec<Out> {
+        self.now = self.now.max(now);
+        let command = command.encode();
+        if self.core.leads() {
+            let _ = self.core.propose(self.now, command);
+            self.act();
+        } else {
+            self.write_leader(Peer::Order { number: 0, command });
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Changes who votes: see [`Core::change`].
+    ///
+    /// # Errors
+    /// Those of [`Core::change`].
+    pub fn change(&mut self, now: Micros, change: Change) -> Result<Vec<Out>, Refused> {
+        self.core.change(now, change)?;
+        self.act();
+        Ok(std::mem::take(&mut self.out))
+    }
+
+    /// Hands the lead over: see [`Core::hand_over`].
+    ///
+    /// # Errors
+    /// Those of [`Core::hand_over`].
+    pub fn hand_over(&mut self, now: Micros, to: MemberId) -> Result<Vec<Out>, Refused> {
+        self.core.hand_over(now, to)?;
+        self.act();
+        Ok(std::mem::take(&mut self.out))
+    }
+
+    /// True: a leader writes to it, as far as it knows. One that was removed while it was cut off may not know that:
+    /// without a leader it asks others what was agreed, like one that never voted.
+    fn is_written_to(&self) -> bool {
+        self.core.log().voters().0.contains(&self.core.id()) && self.core.leader().is_some()
+    }
+
+    /// Does what the log below asks for.
+    fn act(&mut self) {
+        for effect in self.core.take() {
+            match effect {
+                Effect::Send(to, message) => self.out.push(Out::Send(to, Peer::Log(message))),
+                Effect::Save(save) => self.out.push(Out::Save(save)),
+                Effect::Apply(entry) => self.apply(entry),
+                Effect::Restore(snapshot) => self.restore(&snapshot.state, snapshot.index),
+                Effect::Confirmed(question, _) => {
+                    let asked = self.waiting.iter_mut().find(|w| w.question == question);
+                    asked.into_iter().for_each(|w| w.confirmed = true);
+                }
+                Effect::Lost(question) => {
+                    if let Some(place) = self.waiting.iter().position(|w| w.question == question)
+                        && let Some(Waiting { from, number, .. }) = self.waiting.remove(place)
+                        && from != self.core.id()
+                    {
+                        let leader = self.core.leader();
+                        self.out.push(Out::Send(from, Peer::Elsewhere { number, leader }));
+                    }
+                }
+                Effect::Note(note) => self.out.push(Out::Note(note)),
+            }
+        }
+        match (self.core.leads(), &self.keeper) {
+            (true, None) => self.keeper = Some(Keeper::new(self.now)),
+            (false, Some(_)) => {
+                self.keeper = None;
+                self.applicants.clear();
+                self.proposed.clear();
+            }
+            _ => {}
+        }
+        self.answer();
+        if self.core.log().len() > self.set.log_max && self.duties.applied() <= self.core.commit() {
+            self.core.compact(self.duties.applied(), self.duties.encode());
+            // What is to be saved of it goes out with this step.
+            let more = self.core.take();
+            self.out.extend(more.into_iter().filter_map(|effect| match effect {
+                Effect::Save(save) => Some(Out::Save(save)),
+                _ => None,
+            }));
+        }
+    }
+
+    /// Entries come by the log below, or were fetched: each counts once.
+    fn apply(&mut self, entry: Entry) {
+        if entry.index != self.duties.applied().next() {
+            return;
+        }
+        let changes = match &entry.payload {
+            Payload::Command(command) => self.duties.apply(entry.index, command),
+            Payload::Nothing | Payload::Members(_) => {
+                self.duties.pass(entry.index);
+                Vec::new()
+            }
+        };
+        self.proposed.retain(|_, index| *index > entry.index);
+        for change in changes {
+            if let Some(keeper) = &mut self.keeper {
+                keeper.note(&change, self.now);
+            }
+            self.out.push(Out::Changed(change));
+        }
+    }
+
+    fn restore(&mut self, state: &[u8], index: Index) {
+        if index < self.duties.applied() {
+            return;
+        }
+        match Duties::decode(state, index) {
+            Ok(duties) => self.duties = duties,
+            Err(cause) => {
+                // A state that no member of this version wrote: what it says cannot be guessed.
+                self.core.disk_failed(format!("the state at entry {index} cannot be read: {cause}"));
+            }
+        }
+    }
+
+    fn asked_to_renew(&mut self, from: MemberId, number: u64, weight: f64, wants: Vec<String>) {
+        let upto = self.core.log().last_index();
+        match self.core.ask(self.now) {
+            Ok(question) => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.asked(from, self.now);
+                    let wants = wants.into_iter().take(WANTS).collect();
+                    self.applicants.insert(from, Applicant { weight, wants });
+                }
+                self.waiting.push_back(Waiting { question, confirmed: false, upto, from, number });
+            }
+            Err(_) if from != self.core.id() => {
+                let leader = self.core.leader();
+                self.out.push(Out::Send(from, Peer::Elsewhere { number, leader }));
+            }
+            Err(_) => {}
+        }
+        self.act();
+    }
+
+    /// Answers requests that are confirmed, once all counts that was written before them.
+    fn answer(&mut self) {
+        let applied = self.duties.applied();
+        let ready = |w: &Waiting| w.confirmed && applied >= w.upto;
+        let (ready, wait): (VecDeque<_>, VecDeque<_>) = self.waiting.drain(..).partition(ready);
+        self.waiting = wait;
+        for Waiting { from, number, .. } in ready {
+            if from == self.core.id() {
+                self.holder.granted(number, applied);
+            } else {
+                self.out.push(Out::Send(from, Peer::Renewed { number, applied }));
+            }
+        }
+    }
+
+    /// A leader gives free duties to the best of those that were heard of lately and want them.
+    fn allot(&mut self) {
+        let Some(keeper) = &self.keeper else { return };
+        let lately = |m: &MemberId| keeper.heard(*m).is_some_and(|at| self.now < at + self.set.election * 2);
+        let able: Vec<(MemberId, &Applicant)> =
+            self.applicants.iter().filter(|(m, _)| lately(m)).map(|(m, a)| (*m, a)).collect();
+        if able.is_empty() {
+            return;
+        }
+        let mut grants = Vec::new();
+        for (name, duty) in self.duties.iter() {
+            let free = self.now >= keeper.free_at(name, duty, &self.set);
+            if !free || self.proposed.contains_key(name) || grants.len() >= GRANTS {
+                continue;
+            }
+            let wants = |a: &Applicant| a.wants.iter().any(|w| name.as_str().starts_with(w.as_str()));
+            let members = able.iter().filter(|(_, a)| wants(a)).map(|(m, a)| (*m, a.weight));
+            if let Some(to) = best(name, members) {
+                grants.push((name.clone(), duty.token, to));
+            }
+        }
+        if grants.is_empty() {
+            return;
+        }
+        let names: Vec<DutyName> = grants.iter().map(|(name, ..)| name.clone()).collect();
+        if let Ok(index) = self.core.propose(self.now, Command::Grant { grants }.encode()) {
+            self.proposed.extend(names.into_iter().map(|name| (name, index)));
+        }
+        self.act();
+    }
+
+    /// Asks for its leases, by one message for all.
+    fn renew(&mut self) {
+        // One whose disk has failed hears of no more entries: it must not keep what it can't act on.
+        if self.now < self.renew_at || self.core.is_retired() {
+            return;
+        }
+        self.renew_at = self.now + self.set.renew;
+        let me = self.core.id();
+        let holds = self.duties.iter().any(|(_, duty)| duty.holder == Some(me));
+        if !holds && (self.wants.is_empty() || self.weight <= 0.0) {
+            return;
+        }
+        let number = self.holder.ask(self.now);
+        let (weight, wants) = (self.weight, self.wants.clone());
+        if self.core.leads() {
+            self.asked_to_renew(me, number, weight, wants);
+        } else {
+            self.write_leader(Peer::Renew { number, weight, wants });
+        }
+    }
+
+    /// What was agreed from an entry on, for one that only follows.
+    fn fetched_from(&mut self, to: MemberId, from: Index) {
+        let (log, commit, leader) = (self.core.log(), self.core.commit(), self.core.leader());
+        let answer = if from > log.base().index {
+            let most = (commit.next().0.saturating_sub(from.0) as usize).min(self.set.batch);
+            Peer::Fetched { entries: log.from(from, most), leader }
+        } else {
+            Peer::FetchedState { index: self.duties.applied(), state: self.duties.encode(), leader }
+        };
+        self.out.push(Out::Send(to, answer));
+    }
+
+    fn write_leader(&mut self, message: Peer) {
+        match self.leader().filter(|l| *l != self.core.id()) {
+            Some(leader) => {
+                // If it does not answer, the next is asked.
+                self.leader = None;
+                self.out.push(Out::Send(leader, message));
+            }
+            None => self.write_any(message),
+        }
+    }
+
+    fn write_any(&mut self, message: Peer) {
+        let known = self.core.log().voters().0;
+        let voters = if known.is_empty() { &self.voters } else { known };
+        let others: Vec<MemberId> = voters.iter().copied().filter(|m| *m != self.core.id()).collect();
+        if others.is_empty() {
+            return;
+        }
+        self.turn = (self.turn + 1) % others.len();
+        self.out.push(Out::Send(others[self.turn], message));
+    }
+}
--- /dev/null
+++ b/crates/stepspur-council/src/rendezvous.rs
@@ -0,0 +1,62 @@
+//! Weighted rendezvous hashing: a duty goes to the member whose number for it is highest, so that when a member goes
+//! only what it held moves, and a member gets by its weight. After Thaler and Ravishankar 1998, weighted by
+//! -weight / ln(hash) (Schindelhauer and Schomaker 2005).
+
+use sha2::{Digest, Sha256};
+
+use crate::duty::DutyName;
+use crate::ids::MemberId;
+
+/// The best of these members for a duty; none of none. Weights above 0 count; equal numbers go to the lower member.
+pub fn best(duty: &DutyName, members: impl IntoIterator<Item = (MemberId, f64)>) -> Option<MemberId> {
+    let able = members.into_iter().filter(|(_, weight)| *weight > 0.0 && weight.is_finite());
+    let scored = able.map(|(member, weight)| (score(duty, member, weight), member));
+    scored.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map(|(_, member)| member)
+}
+
+fn score(duty: &DutyName, member: MemberId, weight: f64) -> f64 {
+    let hash = Sha256::new().chain_update(member.0.to_be_bytes()).chain_update(duty.as_str()).finalize();
+    let head = hash.first_chunk::<8>().map_or(0, |head| u64::from_be_bytes(*head));
+    // Between 0 and 1, neither of them.
+    let unit = ((head >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -weight / unit.ln()
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeMap;
+
+    use super::*;
+
+    fn duties() -> impl Iterator<Item = DutyName> {
+        (0..10_000).map(|k| DutyName::new(&format!("duty/{k}")).unwrap())
+    }
+
+    /// Ten thousand duties on five members of weights 1, 1, 1, 1 and 2: shares by weight, within four deviations.
+    #[test]
+    fn shares_go_by_weight_and_only_what_a_member_held_moves_when_it_goes() {
+        let members: Vec<(MemberId, f64)> =
+            (1..=5).map(|k| (MemberId(k), if k == 5 { 2.0 } else { 1.0 })).collect();
+        let placed = |members: &[(MemberId, f64)]| -> BTreeMap<DutyName, MemberId> {
+            duties().map(|d| (d.clone(), best(&d, members.iter().copied()).unwrap())).collect()
+        };
+        let before = placed(&members);
+        for (member, weight) in &members {
+            let share = weight / 6.0;
+            let many = before.values().filter(|m| *m == member).count() as f64;
+            let deviation = (10_000.0 * share * (1.0 - share)).sqrt();
+            assert!((many - 10_000.0 * share).abs() < 4.0 * deviation, "{member}: {many}");
+        }
+        let after = placed(&members[1..]);
+        for (duty, member) in &before {
+            assert!(*member == MemberId(1) || after[duty] == *member, "{duty} moved without need");
+        }
+    }
+
+    #[test]
+    fn nobody_is_best_of_none_or_of_no_weight() {
+        let duty = DutyName::new("d").unwrap();
+        assert_eq!(best(&duty, []), None);
+        assert_eq!(best(&duty, [(MemberId(1), 0.0), (MemberId(2), f64::NAN)]), None);
+    }
+}
