--- a/crates/stepspur-council/src/lease.rs
+++ b/crates/stepspur-council/src/lease.rs
@@ -78,6 +78,8 @@
     asked: VecDeque<(u64, Micros)>,
     /// The newest that was answered: when it was sent, and what its answer counted.
     proved: Option<(Micros, Index)>,
+    /// The newest that was answered in any way.
+    heard: u64,
 }
 
 /// Requests that may wait for an answer.
@@ -94,8 +96,19 @@
         self.next
     }
 
+    /// A request was answered, granted or not.
+    pub fn answered(&mut self, number: u64) {
+        self.heard = self.heard.max(number.min(self.next));
+    }
+
+    /// The newest request that was answered in any way; 0: none.
+    pub fn heard(&self) -> u64 {
+        self.heard
+    }
+
     /// A request was granted, by a leader that counted all entries up to `applied`.
     pub fn granted(&mut self, number: u64, applied: Index) {
+        self.answered(number);
         let Some(place) = self.asked.iter().position(|(n, _)| *n == number) else { return };
         let (_, at) = self.asked[place];
         self.asked.drain(..=place);
--- a/crates/stepspur-council/src/member.rs
+++ b/crates/stepspur-council/src/member.rs
@@ -23,6 +23,8 @@
     Renew {
         /// Told back with the answer.
         number: u64,
+        /// The newest number that was answered, by whomever: who asks and hears nothing must not keep duties.
+        heard: u64,
         /// How much of the duties it wants, against others; 0: none that it does not hold.
         weight: f64,
         /// Beginnings of the names of duties that it would hold.
@@ -186,6 +188,15 @@
         (now < until).then_some(token)
     }
 
+    /// The duties that it holds, until when it may act on each by its own clock, and with which token.
+    pub fn leases(&self) -> impl Iterator<Item = (&DutyName, Micros, Token)> {
+        let mine = |(name, _)| {
+            let (until, token) = self.holder.until(self.core.id(), name, &self.duties, &self.set)?;
+            Some((name, until, token))
+        };
+        self.duties.iter().filter_map(mine)
+    }
+
     /// When [`Member::tick`] is due at the latest.
     pub fn next_at(&self) -> Micros {
         let follows = if self.is_written_to() { Micros::MAX } else { self.fetch_at };
@@ -215,7 +226,16 @@
                 self.core.receive(self.now, from, message);
                 self.act();
             }
-            Peer::Renew { number, weight, wants } => self.asked_to_renew(from, number, weight, wants),
+            Peer::Renew { number, heard, weight, wants } => {
+                if number.saturating_sub(heard) > self.unheard_most() {
+                    // It would keep its duties by asking for ever, and act on none: no answer reaches it. One that
+                    // does, as this may, lets its next request count.
+                    let leader = self.core.leader();
+                    self.out.push(Out::Send(from, Peer::Elsewhere { number, leader }));
+                } else {
+                    self.asked_to_renew(from, number, weight, wants);
+                }
+            }
             Peer::Renewed { number, applied } => {
                 self.leader = Some(from);
                 self.holder.granted(number, applied);
@@ -227,8 +247,9 @@
                 }
                 self.act();
             }
-            Peer::Elsewhere { leader, .. } => {
-                self.leader = leader.filter(|l| *l != from);
+            Peer::Elsewhere { number, leader } => {
+                self.holder.answered(number);
+                self.leader = leader;
                 // Once at once, else at the next turn: two that point at each other must not spin.
                 self.renew_at = self.renew_at.min(self.now + self.set.heartbeat);
             }
@@ -302,6 +323,12 @@
         Ok(std::mem::take(&mut self.out))
     }
 
+    /// Requests that may have no answer before the next counts no more: as many as fit into an election's time, and two
+    /// that are under way.
+    fn unheard_most(&self) -> u64 {
+        self.set.election / self.set.renew.max(1) + 2
+    }
+
     /// True: a leader writes to it, as far as it knows. One that was removed while it was cut off may not know that:
     /// without a leader it asks others what was agreed, like one that never voted.
     fn is_written_to(&self) -> bool {
@@ -470,7 +497,8 @@
         if self.core.leads() {
             self.asked_to_renew(me, number, weight, wants);
         } else {
-            self.write_leader(Peer::Renew { number, weight, wants });
+            let heard = self.holder.heard();
+            self.write_leader(Peer::Renew { number, heard, weight, wants });
         }
     }
 
--- a/crates/stepspur-proto/src/lib.rs
+++ b/crates/stepspur-proto/src/lib.rs
@@ -18,7 +18,7 @@
     include!(concat!(env!("OUT_DIR"), "/stepspur.proxy.v1.rs"));
 }
 
-pub use v1::{FromConductor, FromProxy, from_conductor, from_proxy};
+pub use v1::{FromConductor, FromPeer, FromProxy, from_conductor, from_peer, from_proxy};
 
 /// The version of the protocol that this crate speaks.
 pub const VERSION: u32 = 1;
