Let run take part in a council: [council], council found and council status; off by default

Need: the council in the program, beside everything that exists (issue on duties). Change: a [council] section (numbers, addresses, state file, times, all faults with their line), the state file made once by 'stepspur council found', the member's standing at the status page and by 'stepspur council status'. A conductor without a usable state file goes on and only follows. Without the section nothing of it runs; on the platform there is none.

--- a/crates/stepspur-cli/src/main.rs
+++ b/crates/stepspur-cli/src/main.rs
@@ -56,6 +56,9 @@
         #[arg(long)]
         json: bool,
     },
+    /// The council of conductors, where the settings name one.
+    #[command(subcommand)]
+    Council(CouncilCommand),
     /// Counts of a running conductor.
     Status {
         /// Where its status page answers.
@@ -108,6 +111,24 @@
     Bench(bench::BenchArgs),
 }
 
+#[derive(Debug, Subcommand)]
+enum CouncilCommand {
+    /// Make this conductor's state file, once, before the council's first start. It is never made anew over another.
+    Found {
+        #[command(flatten)]
+        settings: SettingsArgs,
+    },
+    /// How a running conductor's member stands.
+    Status {
+        /// Where the conductor's status page answers.
+        #[arg(long, default_value = "127.0.0.1:7401")]
+        address: SocketAddr,
+        /// Print as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Debug, Args)]
 struct SettingsArgs {
     /// The settings file (TOML).
@@ -210,6 +231,13 @@
             Err(faults) => Ok(settings::show(&faults, json)),
         },
         Command::Status { address, json } => run::status(address, json).await,
+        Command::Council(CouncilCommand::Found { settings }) => {
+            match settings::load(&settings.config, &settings.set) {
+                Ok(config) => run::found(&config),
+                Err(faults) => Ok(settings::show(&faults, false)),
+            }
+        }
+        Command::Council(CouncilCommand::Status { address, json }) => run::council(address, json).await,
         Command::Rehearse { schema: true, .. } => {
             println!("{}", serde_json::to_string_pretty(&stepspur_rehearsal::scenario::schema())?);
             Ok(End::Well)
--- a/crates/stepspur-cli/src/run.rs
+++ b/crates/stepspur-cli/src/run.rs
@@ -26,9 +26,29 @@
     end.map(|()| End::Well)
 }
 
+/// Makes the state file of a council's first member.
+pub fn found(config: &Config) -> anyhow::Result<End> {
+    let Some(council) = &config.council else {
+        eprintln!("stepspur: the settings name no [council]");
+        return Ok(End::WrongUse);
+    };
+    council.found()?;
+    println!("{}", council.state.display());
+    Ok(End::Well)
+}
+
 pub async fn status(address: SocketAddr, json: bool) -> anyhow::Result<End> {
-    let answer = http::get(address, "/v1/status", Duration::from_secs(5), 1 << 20).await;
+    show(address, "/v1/status", json).await
+}
+
+pub async fn council(address: SocketAddr, json: bool) -> anyhow::Result<End> {
+    show(address, "/v1/council", json).await
+}
+
+async fn show(address: SocketAddr, path: &str, json: bool) -> anyhow::Result<End> {
+    let answer = http::get(address, path, Duration::from_secs(5), 1 << 20).await;
     let (code, body) = answer.with_context(|| format!("no conductor answers at {address}"))?;
+    anyhow::ensure!(code.as_u16() != 404, "the conductor at {address} has no such part");
     anyhow::ensure!(code.is_success(), "status {code} from {address}");
     if json {
         println!("{}", String::from_utf8_lossy(&body));
--- a/crates/stepspur-conductor/src/config.rs
+++ b/crates/stepspur-conductor/src/config.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use stepspur::interface::{Admit, Class, Effect, Group, Micros, Settings};
 use stepspur_identity::tls::ClientCertificates;
+use stepspur_peers::Council;
 
 /// All settings of a conductor.
 #[derive(Clone, Debug, Deserialize, Serialize, Validate)]
@@ -47,6 +48,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[garde(dive, custom(known_or_plain(&self.listen)))]
     pub identity: Option<Identity>,
+    /// A council with other conductors, for work that one of them does at a time; none where left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(dive)]
+    pub council: Option<Council>,
     /// Further tenants, each with servers and decisions of its own; the rest of the settings is the same.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     #[garde(dive, custom(tenants_need_identity(&self.identity)))]
--- a/crates/stepspur-conductor/src/service/front.rs
+++ b/crates/stepspur-conductor/src/service/front.rs
@@ -111,6 +111,19 @@
         tracing::info!(event = "started", %address, epoch);
         let (status, operators): (Option<SocketAddr>, Option<SocketAddr>) = (None, None);
         let kill = CancellationToken::new();
-        Ok(Self { address, status, operators, epoch, stop, kill, tasks, cores, failed, inbox, grace })
+        Ok(Self {
+            address,
+            status,
+            operators,
+            epoch,
+            stop,
+            kill,
+            tasks,
+            cores,
+            failed,
+            inbox,
+            grace,
+            council: None,
+        })
     }
 }
--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -21,6 +21,7 @@
 
 use stepspur::interface::{Micros, Settings};
 use stepspur_identity::keys::KeyFault;
+use stepspur_peers::Peers;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -57,6 +58,9 @@
         /// Why.
         cause: io::Error,
     },
+    /// The council's member does not start.
+    #[error("council: {0}")]
+    Council(#[from] stepspur_peers::StartError),
     /// An address cannot be listened on.
     #[error("cannot listen on {address}: {cause}")]
     Listen {
@@ -87,6 +91,7 @@
     failed: Arc<OnceLock<Failed>>,
     inbox: mpsc::Sender<Inbox>,
     grace: Duration,
+    council: Option<Arc<Peers>>,
 }
 
 /// Time of the machine, which goes forward only: microseconds since 1970.
@@ -188,8 +193,13 @@
             let run = operator::run(listener, identity, tenants, tasks.clone(), stop.clone());
             tasks.spawn(needed("operators' door").task(run));
         }
+        let council = match &config.council {
+            Some(council) => Some(Arc::new(council.start(epoch).await?)),
+            None => None,
+        };
         if let Some(listener) = status {
-            tasks.spawn(needed("status page").task(status::run(listener, inbox.clone(), stop.clone())));
+            let run = status::run(listener, inbox.clone(), council.clone(), stop.clone());
+            tasks.spawn(needed("status page").task(run));
         }
         let grace = config.listen.write_timeout.min(Duration::from_secs(2));
         let accept = Accept {
@@ -204,7 +214,20 @@
         tasks.spawn(needed("proxies' door").task(accept.run(listener)));
         tracing::info!(event = "started", %address, epoch);
         let status = status_address;
-        Ok(Self { address, status, operators, epoch, stop, kill, tasks, cores, failed, inbox, grace })
+        Ok(Self {
+            address,
+            status,
+            operators,
+            epoch,
+            stop,
+            kill,
+            tasks,
+            cores,
+            failed,
+            inbox,
+            grace,
+            council,
+        })
     }
 
     /// Where proxies dial in.
@@ -251,6 +274,9 @@
             self.kill.cancel();
             self.tasks.wait().await;
         }
+        if let Some(council) = self.council.take().and_then(Arc::into_inner) {
+            council.stop().await;
+        }
         tracing::info!(event = "stopped", epoch = self.epoch);
     }
 }
--- a/crates/stepspur-conductor/tests/common/mod.rs
+++ b/crates/stepspur-conductor/tests/common/mod.rs
@@ -54,6 +54,7 @@
         source,
         status: Default::default(),
         identity: None,
+        council: None,
         tenants: Default::default(),
     }
 }
--- /dev/null
+++ b/crates/stepspur-peers/src/config.rs
@@ -0,0 +1,169 @@
+//! A council as an operator words it, and how a conductor starts by it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use garde::Validate;
+use serde::{Deserialize, Serialize};
+use stepspur_council::{Core, MemberId, Stored};
+use stepspur_state::{Fault, Store};
+
+use crate::service::{Peers, Settings, StartError};
+
+/// A council of conductors, and this one's place in it.
+#[derive(Clone, Debug, Deserialize, Serialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Council {
+    /// This conductor's number, never used twice: one whose disk is lost is replaced by another number.
+    #[garde(range(min = 1))]
+    pub id: u64,
+    /// The state file, made by `stepspur council found`. Without it this conductor only follows.
+    #[garde(skip)]
+    pub state: PathBuf,
+    /// All conductors of the council, this one too, alike in all their settings. The first council is of these.
+    #[garde(dive, length(min = 1, max = 1000), custom(sound(&self.id)))]
+    pub conductors: Vec<Place>,
+    /// One that hears no leader for a time between this and its double stands for election.
+    #[serde(default = "election", with = "humantime_serde")]
+    #[garde(custom(alike(self)))]
+    pub election: Duration,
+    /// A leader writes to each member this often at least; a third of `election` at most.
+    #[serde(default = "heartbeat", with = "humantime_serde")]
+    #[garde(skip)]
+    pub heartbeat: Duration,
+    /// Leases are renewed so often.
+    #[serde(default = "renew", with = "humantime_serde")]
+    #[garde(skip)]
+    pub renew: Duration,
+    /// A disk that takes longer to answer is stalled.
+    #[serde(default = "disk_stall", with = "humantime_serde")]
+    #[garde(skip)]
+    pub disk_stall: Duration,
+    /// How much a conductor's clock may be off, in millionths.
+    #[serde(default = "drift_ppm")]
+    #[garde(skip)]
+    pub drift_ppm: u32,
+}
+
+/// Where a conductor of the council listens to the others.
+#[derive(Clone, Debug, Deserialize, Serialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Place {
+    /// Its number.
+    #[garde(range(min = 1))]
+    pub id: u64,
+    /// Its address.
+    #[garde(custom(loopback))]
+    pub address: SocketAddr,
+}
+
+fn election() -> Duration {
+    Duration::from_secs(1)
+}
+fn heartbeat() -> Duration {
+    Duration::from_millis(200)
+}
+fn renew() -> Duration {
+    Duration::from_millis(400)
+}
+fn disk_stall() -> Duration {
+    Duration::from_secs(2)
+}
+fn drift_ppm() -> u32 {
+    1_000
+}
+
+fn loopback(address: &SocketAddr, (): &()) -> garde::Result {
+    match address.ip().is_loopback() {
+        true => Ok(()),
+        false => Err(garde::Error::new("must be a loopback address: peers carry no identity yet")),
+    }
+}
+
+fn sound(own: &u64) -> impl FnOnce(&Vec<Place>, &()) -> garde::Result + '_ {
+    move |places, ()| {
+        let ids: BTreeSet<u64> = places.iter().map(|place| place.id).collect();
+        match (ids.len() == places.len(), ids.contains(own)) {
+            (true, true) => Ok(()),
+            (false, _) => Err(garde::Error::new("name a number twice")),
+            (_, false) => Err(garde::Error::new(format!("do not name this conductor's own number, {own}"))),
+        }
+    }
+}
+
+/// The times must fit each other.
+fn alike(council: &Council) -> impl FnOnce(&Duration, &()) -> garde::Result + '_ {
+    move |_, ()| match council.council().faults().first() {
+        None => Ok(()),
+        Some(fault) => Err(garde::Error::new(format!("does not fit: {fault}"))),
+    }
+}
+
+/// Dialling and each write are due in this time.
+const WITHIN: Duration = Duration::from_secs(2);
+/// The largest frame, in bytes: a batch of the longest commands.
+const LARGEST: usize = 16 << 20;
+
+impl Council {
+    fn council(&self) -> stepspur_council::Settings {
+        let micros = |span: Duration| u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        stepspur_council::Settings {
+            election: micros(self.election),
+            heartbeat: micros(self.heartbeat),
+            renew: micros(self.renew),
+            disk_stall: micros(self.disk_stall),
+            drift_ppm: self.drift_ppm,
+            ..Default::default()
+        }
+    }
+
+    /// As a member takes it.
+    pub fn settings(&self) -> Settings {
+        let place = |place: &Place| (MemberId(place.id), place.address);
+        let own = self.conductors.iter().find(|place| place.id == self.id);
+        Settings {
+            id: MemberId(self.id),
+            // Settings without their own place are refused before.
+            listen: own.map_or(SocketAddr::from(([127, 0, 0, 1], 0)), |place| place.address),
+            peers: self.conductors.iter().map(place).collect(),
+            council: self.council(),
+            wants: Vec::new(),
+            weight: 1.0,
+            within: WITHIN,
+            largest_frame: LARGEST,
+        }
+    }
+
+    /// Makes the state file of a first member: it votes from its start, with the others that are named.
+    ///
+    /// # Errors
+    /// [`Fault::Exists`] if there is one, and those of the disk.
+    pub fn found(&self) -> Result<(), Fault> {
+        let voters = self.conductors.iter().map(|place| MemberId(place.id)).collect();
+        Store::create(&self.state, MemberId(self.id), &Core::founding(voters)).map(drop)
+    }
+
+    /// Starts the member. One whose state cannot be used only follows, and says so: the conductor goes on.
+    ///
+    /// # Errors
+    /// See [`StartError`].
+    pub async fn start(&self, seed: u64) -> Result<Peers, StartError> {
+        let path = self.state.clone();
+        let opened: Result<Result<(Store, Stored), Fault>, _> =
+            tokio::task::spawn_blocking(move || Store::open(&path)).await;
+        let disk = match opened {
+            Ok(Ok(disk)) => Some(disk),
+            Ok(Err(cause)) => {
+                tracing::error!(event = "council_without_state", member = %MemberId(self.id), %cause);
+                None
+            }
+            Err(cause) => {
+                tracing::error!(event = "council_without_state", member = %MemberId(self.id), %cause);
+                None
+            }
+        };
+        Peers::start(self.settings(), disk, seed ^ self.id).await
+    }
+}
--- a/crates/stepspur-peers/src/lib.rs
+++ b/crates/stepspur-peers/src/lib.rs
@@ -6,9 +6,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod config;
 mod link;
 mod schema;
 mod service;
 
+pub use config::{Council, Place};
 pub use schema::{BadPeer, from_peer, to_peer};
 pub use service::{Gone, Peers, Settings, StartError, Status};
--- a/crates/stepspur-platform/src/config.rs
+++ b/crates/stepspur-platform/src/config.rs
@@ -245,6 +245,8 @@
         },
         status: Default::default(),
         identity: None,
+        // Conductors share nothing here.
+        council: None,
         tenants: Default::default(),
     }
 }
