Change a council at the operators' endpoint: transfer, add, remove, by right and audited

Change: GET /v1/council with read_status; POST /v1/council/transfer, /add and /remove with administer, at the leader; one that does not lead answers 409 and names who does.

--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -150,6 +150,10 @@
         let (stop, kill, tasks) = (CancellationToken::new(), CancellationToken::new(), TaskTracker::new());
         let failed = Arc::new(OnceLock::new());
         let needed = |name| Needed { name, stop: stop.clone(), failed: Arc::clone(&failed) };
+        let council = match &config.council {
+            Some(council) => Some(Arc::new(council.start(epoch).await?)),
+            None => None,
+        };
         let identity = match &config.identity {
             None => None,
             Some(set) => {
@@ -190,13 +194,10 @@
             let listener = listen(address, 128)?;
             operators = Some(bound(&listener, address)?);
             let (identity, tenants) = (Arc::clone(identity), Arc::clone(&tenants));
-            let run = operator::run(listener, identity, tenants, tasks.clone(), stop.clone());
+            let desk = operator::Desk { identity, tenants, council: council.clone() };
+            let run = operator::run(listener, desk, tasks.clone(), stop.clone());
             tasks.spawn(needed("operators' door").task(run));
         }
-        let council = match &config.council {
-            Some(council) => Some(Arc::new(council.start(epoch).await?)),
-            None => None,
-        };
         if let Some(listener) = status {
             let run = status::run(listener, inbox.clone(), council.clone(), stop.clone());
             tasks.spawn(needed("status page").task(run));
--- a/crates/stepspur-conductor/src/service/operator.rs
+++ b/crates/stepspur-conductor/src/service/operator.rs
@@ -6,6 +6,8 @@
 //! | `POST /v1/drain`, `/v1/withdraw` with `{"server": "127.0.0.1:9001", "on": true}` | `change` |
 //! | `POST /v1/level` with `{"class": "read", "share": 0.5}` | `change` |
 //! | `POST /v1/reload` | `administer` |
+//! | `GET /v1/council` | `read_status` |
+//! | `POST /v1/council/transfer`, `/add`, `/remove` with `{"member": 2}`, at the leader | `administer` |
 //! | `GET /v1/audit?last=100` | `administer` |
 
 use std::collections::BTreeMap;
@@ -23,6 +25,7 @@
 use stepspur_identity::cert::CertCaller;
 use stepspur_identity::grant::{Denied, Grant};
 use stepspur_identity::rights::Right;
+use stepspur_peers::{Change, Gone, MemberId, Peers, Refused};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
@@ -40,19 +43,16 @@
     peer: SocketAddr,
 }
 
-struct Desk {
-    identity: Arc<Identity>,
-    tenants: Arc<BTreeMap<String, mpsc::Sender<Inbox>>>,
+/// What calls are answered by.
+pub(crate) struct Desk {
+    pub identity: Arc<Identity>,
+    pub tenants: Arc<BTreeMap<String, mpsc::Sender<Inbox>>>,
+    pub council: Option<Arc<Peers>>,
 }
 
-pub(crate) async fn run(
-    listener: TcpListener,
-    identity: Arc<Identity>,
-    tenants: Arc<BTreeMap<String, mpsc::Sender<Inbox>>>,
-    tasks: TaskTracker,
-    stop: CancellationToken,
-) {
-    let desk = Arc::new(Desk { identity: Arc::clone(&identity), tenants });
+pub(crate) async fn run(listener: TcpListener, desk: Desk, tasks: TaskTracker, stop: CancellationToken) {
+    let identity = Arc::clone(&desk.identity);
+    let desk = Arc::new(desk);
     let router = Router::new()
         .route("/v1/status", get(status))
         .route("/v1/drain", post(drain))
@@ -60,6 +60,10 @@
         .route("/v1/level", post(level))
         .route("/v1/reload", post(reload))
         .route("/v1/audit", get(audit))
+        .route("/v1/council", get(council))
+        .route("/v1/council/transfer", post(transfer))
+        .route("/v1/council/add", post(add))
+        .route("/v1/council/remove", post(remove))
         .with_state(desk);
     loop {
         let accepted = tokio::select! {
@@ -126,6 +130,31 @@
         self.answer(seen, grant, what, status, result).await
     }
 
+    fn member(&self) -> Result<&Peers, Told> {
+        let none = || Told(StatusCode::NOT_FOUND, "this conductor is in no council".to_owned());
+        self.council.as_deref().ok_or_else(none)
+    }
+
+    /// Answers a change of the council, which has begun with it: how it ends shows in the council's standing.
+    async fn council_changed(
+        &self,
+        seen: &Connected,
+        grant: &Grant,
+        what: String,
+        done: Result<Result<(), Refused>, Gone>,
+    ) -> Response {
+        let (status, result) = match done {
+            Ok(Ok(())) => (StatusCode::OK, "begun".to_owned()),
+            Ok(Err(Refused::NotLeader(leader))) => {
+                let leader = leader.map_or("nobody that it knows of".to_owned(), |m| m.0.to_string());
+                (StatusCode::CONFLICT, format!("this conductor does not lead; the leader is {leader}"))
+            }
+            Ok(Err(refused)) => (StatusCode::UNPROCESSABLE_ENTITY, refused.to_string()),
+            Err(gone) => (StatusCode::SERVICE_UNAVAILABLE, gone.to_string()),
+        };
+        self.answer(seen, grant, what, status, result).await
+    }
+
     async fn answer(
         &self,
         seen: &Connected,
@@ -219,6 +248,43 @@
     Ok(desk.answer(&seen, &grant, "reload".into(), status, result).await)
 }
 
+async fn council((State(desk), Extension(seen), headers): Asked) -> Result<Response, Told> {
+    desk.caller(&seen, &headers, Right::ReadStatus, "council")?;
+    let status = desk
+        .member()?
+        .status()
+        .await
+        .map_err(|gone| Told(StatusCode::SERVICE_UNAVAILABLE, gone.to_string()))?;
+    Ok(Json(status).into_response())
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OnMember {
+    member: u64,
+}
+
+async fn transfer((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
+    let grant = desk.caller(&seen, &headers, Right::Administer, "council transfer")?;
+    let OnMember { member } = read(&body)?;
+    let done = desk.member()?.hand_over(MemberId(member)).await;
+    Ok(desk.council_changed(&seen, &grant, format!("council transfer {member}"), done).await)
+}
+
+async fn add((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
+    let grant = desk.caller(&seen, &headers, Right::Administer, "council add")?;
+    let OnMember { member } = read(&body)?;
+    let done = desk.member()?.change(Change::Add(MemberId(member))).await;
+    Ok(desk.council_changed(&seen, &grant, format!("council add {member}"), done).await)
+}
+
+async fn remove((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
+    let grant = desk.caller(&seen, &headers, Right::Administer, "council remove")?;
+    let OnMember { member } = read(&body)?;
+    let done = desk.member()?.change(Change::Remove(MemberId(member))).await;
+    Ok(desk.council_changed(&seen, &grant, format!("council remove {member}"), done).await)
+}
+
 #[derive(Debug, Deserialize)]
 struct Last {
     #[serde(default)]
--- a/crates/stepspur-conductor/tests/identity.rs
+++ b/crates/stepspur-conductor/tests/identity.rs
@@ -681,3 +681,51 @@
     drop(half_open);
     conductor.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_council_is_changed_by_administrators_alone_and_written_down() {
+    let keys = Keys::new("council");
+    let mut set = keys.config();
+    let place = stepspur_peers::Place { id: 1, address: ([127, 0, 0, 1], 0).into() };
+    let council = stepspur_peers::Council {
+        id: 1,
+        state: keys.folder.join("council.redb"),
+        conductors: vec![place],
+        election: Duration::from_millis(150),
+        heartbeat: Duration::from_millis(40),
+        renew: Duration::from_millis(80),
+        disk_stall: Duration::from_secs(5),
+        drift_ppm: 1_000,
+    };
+    council.found().unwrap();
+    set.council = Some(council);
+    let conductor = keys.start(set).await;
+    let operators = conductor.operators_address().unwrap();
+    let by = |right| keys.token("north", "ann", Rights::from(vec![right]), 60);
+    let ask = |right, line, body: &'static str| {
+        let (client, token) = (keys.client(None), by(right));
+        async move { call(operators, client, &token, line, body).await }
+    };
+    loop {
+        let (status, body) = ask(Right::ReadStatus, "GET /v1/council", "").await;
+        assert_eq!(status, 200, "{body}");
+        if body.contains("\"leader\":1") {
+            break;
+        }
+    }
+    for line in ["POST /v1/council/transfer", "POST /v1/council/add", "POST /v1/council/remove"] {
+        assert_eq!(ask(Right::Change, line, "{\"member\": 2}").await.0, 403, "{line}");
+        assert_eq!(ask(Right::Administer, line, "{\"member\": \"two\"}").await.0, 400, "{line}");
+    }
+    let add = "POST /v1/council/add";
+    assert_eq!(ask(Right::Administer, add, "{\"member\": 1}").await.0, 422, "it is there already");
+    assert_eq!(ask(Right::Administer, "POST /v1/council/remove", "{\"member\": 1}").await.0, 422, "the last");
+    let (status, body) = ask(Right::Administer, add, "{\"member\": 2}").await;
+    assert_eq!((status, body.contains("begun")), (200, true), "{body}");
+    assert_eq!(ask(Right::Administer, add, "{\"member\": 3}").await.0, 422, "one at a time");
+    let audit = keys.audit();
+    for line in ["council add 2", "council remove 1", "council transfer"] {
+        assert!(audit.contains(line), "{line}: {audit}");
+    }
+    conductor.stop().await;
+}
--- a/crates/stepspur-peers/src/lib.rs
+++ b/crates/stepspur-peers/src/lib.rs
@@ -14,3 +14,4 @@
 pub use config::{Council, Place};
 pub use schema::{BadPeer, from_peer, to_peer};
 pub use service::{Gone, Peers, Settings, StartError, Status};
+pub use stepspur_council::{Change, MemberId, Refused};
