Add shared books: commands that take effect once, linearizable reads, and a fleet in memory

Need: drains, job records and credit rest on what all conductors agree on, and the council agreed on duties alone.

A member's network and disk are two traits, TCP and redb in the program. `stepspur-stories`, which tests alone use: whole members in one runtime with its clock paused, links silent, slow and torn in a frame, disks slow, full and cut off, members killed and started; a history judged after Wing and Gong; 14 stories with cucumber.

--- a/crates/stepspur-council/src/lib.rs
+++ b/crates/stepspur-council/src/lib.rs
@@ -4,6 +4,7 @@
 //!   pre-vote and check-quorum, replication, snapshots, changes of one member at a time, hand-over, read index.
 //! - [`Duties`] is the state that it agrees on: who holds which duty, by which fencing token.
 //! - [`Member`] is a conductor: it votes or only follows, holds duties by leases, and grants them while it leads.
+//! - [`State`] is what they agree on beside duties, of whatever kind.
 //! - [`Fence`] is what those keep who obey a duty's orders.
 //!
 //! Sans-IO: events go in with their time, effects come out; chance comes from a seed. docs/council.md has the design.
@@ -21,6 +22,7 @@
 mod rendezvous;
 mod replicate;
 mod settings;
+mod state;
 
 pub use core::{Change, Core, Effect, Question, Refused, Save, Stored};
 pub use duty::{BadName, Changed, Command, Duties, Duty, DutyName, MOST_DUTIES, Token};
@@ -32,3 +34,4 @@
 pub use message::{Message, Note};
 pub use rendezvous::best;
 pub use settings::{Settings, SettingsFault};
+pub use state::State;
--- a/crates/stepspur-council/src/member.rs
+++ b/crates/stepspur-council/src/member.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use bytes::Bytes;
+use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::core::{Change, Core, Effect, Question, Refused, Save, Stored};
 use crate::duty::{Changed, Command, Duties, DutyName, Token};
@@ -13,6 +13,7 @@
 use crate::message::{Message, Note};
 use crate::rendezvous::best;
 use crate::settings::Settings;
+use crate::state::{SHARED, State};
 
 /// What conductors of a council write to each other.
 #[derive(Clone, Debug, PartialEq)]
@@ -51,6 +52,18 @@
         /// Who leads, as far as it knows.
         leader: Option<MemberId>,
     },
+    /// To the leader: what has been agreed by now?
+    Read {
+        /// Told back with the answer.
+        number: u64,
+    },
+    /// The answer: it led after it was asked, and all that was agreed before stands up to here.
+    ReadAt {
+        /// Of the request.
+        number: u64,
+        /// The entry.
+        index: Index,
+    },
     /// From one that only follows, to any member: what was agreed from here on?
     Fetch {
         /// The next entry that it wants.
@@ -83,6 +96,8 @@
     Save(Save),
     /// A duty has another holder, none, or one that must stop.
     Changed(Changed),
+    /// A read that was asked for by [`Member::read`] counts once the entry is applied here; none: ask again.
+    Read(u64, Option<Index>),
     /// For the log.
     Note(Note),
 }
@@ -96,6 +111,8 @@
     upto: Index,
     from: MemberId,
     number: u64,
+    /// True: it asks what has been agreed, and renews nothing.
+    reads: bool,
 }
 
 /// One that would hold duties.
@@ -109,11 +126,18 @@
 const GRANTS: usize = 256;
 /// Names that a conductor may want.
 const WANTS: usize = 64;
+/// Numbers of reads begin above this, those of renewals below.
+const READS: u64 = 1 << 62;
+/// What a snapshot's state begins with where something beside duties is agreed; without, it is their JSON.
+const BOTH: u8 = 2;
 
 /// A conductor of the council.
 #[derive(Clone, Debug)]
-pub struct Member {
+pub struct Member<S = ()> {
     core: Core,
+    state: S,
+    /// Why it applies no more: an entry that this program does not know.
+    stopped: Option<String>,
     set: Settings,
     voters: Voters,
     duties: Duties,
@@ -130,15 +154,35 @@
     leader: Option<MemberId>,
     renew_at: Micros,
     fetch_at: Micros,
+    /// Reads asked for so far.
+    reads: u64,
     now: Micros,
     out: Vec<Out>,
 }
 
 impl Member {
-    /// A conductor as its disk has it; `voters` are those it is told of, for one whose log names none yet.
+    /// A conductor as its disk has it; `voters` are those it is told of, for one whose log names none yet. Nothing is
+    /// agreed beside duties.
     pub fn new(id: MemberId, stored: Stored, voters: Voters, set: Settings, seed: u64, now: Micros) -> Self {
+        Self::with_state(id, stored, voters, set, seed, now, ())
+    }
+}
+
+impl<S: State> Member<S> {
+    /// As [`Member::new`], with a state as it is at the founding, which is agreed on beside the duties.
+    pub fn with_state(
+        id: MemberId,
+        stored: Stored,
+        voters: Voters,
+        set: Settings,
+        seed: u64,
+        now: Micros,
+        state: S,
+    ) -> Self {
         let mut member = Self {
             core: Core::new(id, stored, set.clone(), seed, now),
+            state,
+            stopped: None,
             set,
             voters,
             duties: Duties::default(),
@@ -153,6 +197,7 @@
             leader: None,
             renew_at: now,
             fetch_at: now,
+            reads: 0,
             now,
             out: Vec::new(),
         };
@@ -171,6 +216,16 @@
         &self.core
     }
 
+    /// What is agreed beside duties.
+    pub fn state(&self) -> &S {
+        &self.state
+    }
+
+    /// Why it applies no more entries, if so.
+    pub fn stopped(&self) -> Option<&str> {
+        self.stopped.as_deref()
+    }
+
     /// What is agreed.
     pub fn duties(&self) -> &Duties {
         &self.duties
@@ -248,11 +303,20 @@
                 self.act();
             }
             Peer::Elsewhere { number, leader } => {
-                self.holder.answered(number);
+                // Numbers of reads are above those of renewals.
+                match number >= READS {
+                    true => self.out.push(Out::Read(number, None)),
+                    false => self.holder.answered(number),
+                }
                 self.leader = leader;
                 // Once at once, else at the next turn: two that point at each other must not spin.
                 self.renew_at = self.renew_at.min(self.now + self.set.heartbeat);
             }
+            Peer::Read { number } => self.asked_to_read(from, number),
+            Peer::ReadAt { number, index } => {
+                self.leader = Some(from);
+                self.out.push(Out::Read(number, Some(index)));
+            }
             Peer::Fetch { from: index } => self.fetched_from(from, index),
             Peer::Fetched { entries, leader } => {
                 self.leader = leader.or(self.leader);
@@ -292,8 +356,31 @@
     /// Agrees on a command, by the leader: what became of it shows in [`Out::Changed`]. A holder that gives a duty up
     /// or hands it on must have stopped before.
     pub fn order(&mut self, now: Micros, command: &Command) -> Vec<Out> {
+        self.bring(now, command.encode())
+    }
+
+    /// Agrees on a command for the state beside the duties, by the leader: that it was applied shows there.
+    pub fn command(&mut self, now: Micros, command: &[u8]) -> Vec<Out> {
+        let mut tagged = BytesMut::with_capacity(command.len() + 1);
+        tagged.put_u8(SHARED);
+        tagged.put_slice(command);
+        self.bring(now, tagged.freeze())
+    }
+
+    /// Asks the leader what has been agreed by now (thesis 6.4): [`Out::Read`] tells, with this number.
+    pub fn read(&mut self, now: Micros) -> (u64, Vec<Out>) {
+        self.now = self.now.max(now);
+        self.reads += 1;
+        let number = READS + self.reads;
+        match self.core.leads() {
+            true => self.asked_to_read(self.core.id(), number),
+            false => self.write_leader(Peer::Read { number }),
+        }
+        (number, std::mem::take(&mut self.out))
+    }
+
+    fn bring(&mut self, now: Micros, command: Bytes) -> Vec<Out> {
         self.now = self.now.max(now);
-        let command = command.encode();
         if self.core.leads() {
             let _ = self.core.propose(self.now, command);
             self.act();
@@ -349,11 +436,14 @@
                 }
                 Effect::Lost(question) => {
                     if let Some(place) = self.waiting.iter().position(|w| w.question == question)
-                        && let Some(Waiting { from, number, .. }) = self.waiting.remove(place)
-                        && from != self.core.id()
+                        && let Some(Waiting { from, number, reads, .. }) = self.waiting.remove(place)
                     {
                         let leader = self.core.leader();
-                        self.out.push(Out::Send(from, Peer::Elsewhere { number, leader }));
+                        if from != self.core.id() {
+                            self.out.push(Out::Send(from, Peer::Elsewhere { number, leader }));
+                        } else if reads {
+                            self.out.push(Out::Read(number, None));
+                        }
                     }
                 }
                 Effect::Note(note) => self.out.push(Out::Note(note)),
@@ -370,7 +460,7 @@
         }
         self.answer();
         if self.core.log().len() > self.set.log_max && self.duties.applied() <= self.core.commit() {
-            self.core.compact(self.duties.applied(), self.duties.encode());
+            self.core.compact(self.duties.applied(), self.encode());
             // What is to be saved of it goes out with this step.
             let more = self.core.take();
             self.out.extend(more.into_iter().filter_map(|effect| match effect {
@@ -382,10 +472,17 @@
 
     /// Entries come by the log below, or were fetched: each counts once.
     fn apply(&mut self, entry: Entry) {
-        if entry.index != self.duties.applied().next() {
+        if entry.index != self.duties.applied().next() || self.stopped.is_some() {
             return;
         }
         let changes = match &entry.payload {
+            Payload::Command(command) if command.first() == Some(&SHARED) => {
+                if let Err(why) = self.state.apply(entry.index, &command[1..]) {
+                    return self.stop(format!("entry {}: {why}", entry.index));
+                }
+                self.duties.pass(entry.index);
+                Vec::new()
+            }
             Payload::Command(command) => self.duties.apply(entry.index, command),
             Payload::Nothing | Payload::Members(_) => {
                 self.duties.pass(entry.index);
@@ -405,13 +502,70 @@
         if index < self.duties.applied() {
             return;
         }
-        match Duties::decode(state, index) {
-            Ok(duties) => self.duties = duties,
-            Err(cause) => {
-                // A state that no member of this version wrote: what it says cannot be guessed.
-                self.core.disk_failed(format!("the state at entry {index} cannot be read: {cause}"));
+        if let Err(cause) = self.decode(state, index) {
+            // A state that no member of this version wrote: what it says cannot be guessed.
+            self.stop(format!("the state at entry {index} cannot be read: {cause}"));
+        }
+    }
+
+    /// What it cannot know it neither passes over nor guesses: it would come to another state than the rest.
+    fn stop(&mut self, why: String) {
+        if self.stopped.is_none() {
+            self.core.disk_failed(why.clone());
+            self.stopped = Some(why);
+        }
+    }
+
+    /// The whole state as a snapshot holds it.
+    fn encode(&self) -> Bytes {
+        let (duties, state) = (self.duties.encode(), self.state.encode());
+        if state.is_empty() {
+            return duties;
+        }
+        let mut both = BytesMut::with_capacity(9 + duties.len() + state.len());
+        both.put_u8(BOTH);
+        both.put_u64(duties.len() as u64);
+        both.put_slice(&duties);
+        both.put_slice(&state);
+        both.freeze()
+    }
+
+    fn decode(&mut self, bytes: &[u8], index: Index) -> Result<(), String> {
+        let torn = || "it is torn".to_owned();
+        let (duties, state) = match bytes.split_first() {
+            Some((&BOTH, rest)) => {
+                let (size, rest) = rest.split_first_chunk::<8>().ok_or_else(torn)?;
+                let size = usize::try_from(u64::from_be_bytes(*size)).map_err(|_| torn())?;
+                rest.split_at_checked(size).ok_or_else(torn)?
             }
+            _ => (bytes, &[][..]),
+        };
+        let duties = Duties::decode(duties, index).map_err(|cause| cause.to_string())?;
+        self.state.restore(index, state)?;
+        self.duties = duties;
+        Ok(())
+    }
+
+    fn asked_to_read(&mut self, from: MemberId, number: u64) {
+        let upto = self.core.log().last_index();
+        match self.core.ask(self.now) {
+            Ok(question) => {
+                self.waiting.push_back(Waiting {
+                    question,
+                    confirmed: false,
+                    upto,
+                    from,
+                    number,
+                    reads: true,
+                });
+            }
+            Err(_) if from != self.core.id() => {
+                let leader = self.core.leader();
+                self.out.push(Out::Send(from, Peer::Elsewhere { number, leader }));
+            }
+            Err(_) => self.out.push(Out::Read(number, None)),
         }
+        self.act();
     }
 
     fn asked_to_renew(&mut self, from: MemberId, number: u64, weight: f64, wants: Vec<String>) {
@@ -423,7 +577,8 @@
                     let wants = wants.into_iter().take(WANTS).collect();
                     self.applicants.insert(from, Applicant { weight, wants });
                 }
-                self.waiting.push_back(Waiting { question, confirmed: false, upto, from, number });
+                let reads = false;
+                self.waiting.push_back(Waiting { question, confirmed: false, upto, from, number, reads });
             }
             Err(_) if from != self.core.id() => {
                 let leader = self.core.leader();
@@ -440,8 +595,12 @@
         let ready = |w: &Waiting| w.confirmed && applied >= w.upto;
         let (ready, wait): (VecDeque<_>, VecDeque<_>) = self.waiting.drain(..).partition(ready);
         self.waiting = wait;
-        for Waiting { from, number, .. } in ready {
-            if from == self.core.id() {
+        for Waiting { from, number, reads, upto, .. } in ready {
+            if reads && from == self.core.id() {
+                self.out.push(Out::Read(number, Some(upto)));
+            } else if reads {
+                self.out.push(Out::Send(from, Peer::ReadAt { number, index: upto }));
+            } else if from == self.core.id() {
                 self.holder.granted(number, applied);
             } else {
                 self.out.push(Out::Send(from, Peer::Renewed { number, applied }));
@@ -509,7 +668,7 @@
             let most = (commit.next().0.saturating_sub(from.0) as usize).min(self.set.batch);
             Peer::Fetched { entries: log.from(from, most), leader }
         } else {
-            Peer::FetchedState { index: self.duties.applied(), state: self.duties.encode(), leader }
+            Peer::FetchedState { index: self.duties.applied(), state: self.encode(), leader }
         };
         self.out.push(Out::Send(to, answer));
     }
--- a/crates/stepspur-council/tests/world/mod.rs
+++ b/crates/stepspur-council/tests/world/mod.rs
@@ -430,6 +430,7 @@
                 {
                     self.changes += 1;
                 }
+                Out::Read(..) => {}
                 Out::Note(Note::Leads { term }) => {
                     let first = *self.leaders.entry(term).or_insert(k);
                     self.need(first == k, || format!("{first} and {k} lead in term {term}"));
--- a/crates/stepspur-peers/src/lib.rs
+++ b/crates/stepspur-peers/src/lib.rs
@@ -7,11 +7,13 @@
 #![warn(missing_docs)]
 
 mod config;
+mod ground;
 mod link;
 mod schema;
 mod service;
 
 pub use config::{Council, Place};
+pub use ground::{Disk, Later, Listen, Net, Saves, Stream, Tcp, Tell};
 pub use schema::{BadPeer, from_peer, to_peer};
-pub use service::{Gone, Peers, Settings, StartError, Status};
+pub use service::{Applied, Gone, Peers, Settings, StartError, Status};
 pub use stepspur_council::{Change, MemberId, Refused};
--- a/crates/stepspur-peers/src/link.rs
+++ b/crates/stepspur-peers/src/link.rs
@@ -8,12 +8,13 @@
 use futures_util::SinkExt;
 use stepspur_proto::v1::FromPeer;
 use stepspur_proto::{FrameError, Frames};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
+use crate::ground::Net;
+
 /// Messages that wait for a peer at most. Beyond that the oldest goes: what they told is told again, and newer.
 const WAITING: usize = 256;
 /// Spans before a peer is dialled again: the first, doubling to the longest.
@@ -57,6 +58,7 @@
 
 /// Writes to one peer until stopped: dials it once there is something to write, and again whenever the link fails.
 pub(crate) async fn write(
+    net: &dyn Net,
     to: SocketAddr,
     waiting: &Waiting,
     largest: usize,
@@ -67,7 +69,7 @@
         let mut again = AGAIN;
         loop {
             let first = waiting.next().await;
-            match link(to, first, waiting, largest, within, &mut again).await {
+            match link(net, to, first, waiting, largest, within, &mut again).await {
                 Ok(never) => match never {},
                 Err(cause) => tracing::debug!(event = "peer_link_down", %to, %cause),
             }
@@ -84,6 +86,7 @@
 enum Never {}
 
 async fn link(
+    net: &dyn Net,
     to: SocketAddr,
     first: FromPeer,
     waiting: &Waiting,
@@ -92,8 +95,7 @@
     again: &mut Duration,
 ) -> Result<Never, FrameError> {
     let late = |_| FrameError::Io(std::io::ErrorKind::TimedOut.into());
-    let socket = timeout(within, TcpStream::connect(to)).await.map_err(late)??;
-    socket.set_nodelay(true)?;
+    let socket = timeout(within, net.dial(to)).await.map_err(late)??;
     let mut frames = Framed::new(socket, Frames::<FromPeer, FromPeer>::new(largest));
     let mut message = first;
     loop {
--- a/crates/stepspur-peers/src/schema.rs
+++ b/crates/stepspur-peers/src/schema.rs
@@ -101,6 +101,8 @@
         Peer::Elsewhere { number, leader: l } => {
             Kind::Elsewhere(v1::PeerElsewhere { number, leader: leader(l) })
         }
+        Peer::Read { number } => Kind::Read(v1::PeerRead { number }),
+        Peer::ReadAt { number, index } => Kind::ReadAt(v1::PeerReadAt { number, index: index.0 }),
         Peer::Fetch { from } => Kind::Fetch(v1::PeerFetch { next: from.0 }),
         Peer::Fetched { entries, leader: l } => {
             let entries = entries.into_iter().map(entry).collect();
@@ -161,6 +163,8 @@
         Kind::Renewed(r) => Peer::Renewed { number: r.number, applied: Index(r.applied) },
         Kind::Order(o) => Peer::Order { number: o.number, command: o.command },
         Kind::Elsewhere(e) => Peer::Elsewhere { number: e.number, leader: e.leader.map(MemberId) },
+        Kind::Read(r) => Peer::Read { number: r.number },
+        Kind::ReadAt(r) => Peer::ReadAt { number: r.number, index: Index(r.index) },
         Kind::Fetch(f) => Peer::Fetch { from: Index(f.next) },
         Kind::Fetched(f) => {
             Peer::Fetched { entries: all_entered(f.entries)?, leader: f.leader.map(MemberId) }
--- a/crates/stepspur-peers/src/service.rs
+++ b/crates/stepspur-peers/src/service.rs
@@ -6,29 +6,30 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use serde::Serialize;
 use stepspur_council::{
-    Change, Changed, Command, DutyName, Member, MemberId, Micros, Note, Out, Peer, Refused, SettingsFault,
-    Stored, Token,
+    Change, Changed, Command, DutyName, Index, Member, MemberId, Micros, Note, Out, Peer, Refused,
+    SettingsFault, State, Stored, Token,
 };
 use stepspur_proto::Frames;
 use stepspur_proto::v1::FromPeer;
-use stepspur_state::{Store, Told, Writer};
-use tokio::net::{TcpListener, TcpStream};
+use stepspur_state::Store;
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::codec::Framed;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
 
+use crate::ground::{Disk, Listen, Net, Saves, Stream, Tcp};
 use crate::link::{self, Waiting};
 use crate::schema::{from_peer, to_peer};
 
 /// Messages and asks that wait for the core; who brings more waits.
 const INBOX: usize = 1_024;
-/// Saves that wait for the disk: a core that writes more has a stalled disk.
-const SAVES: usize = 1_024;
+/// Reads that wait for an answer; those that nobody waits for any more go first.
+const READS: usize = 1_024;
 /// Connections beside those of known peers: those whose first frame has not come yet.
 const STRANGERS: usize = 16;
 /// A member that has nothing to do looks at its clock so often at most.
@@ -106,9 +107,18 @@
     pub duties: BTreeMap<String, (Option<MemberId>, u64)>,
 }
 
+/// How far a member has come.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// The last entry that it applied.
+    pub index: Index,
+    /// Why it applies no more, if so.
+    pub stopped: Option<String>,
+}
+
 /// What became of saves.
 #[derive(Clone, Debug, Default)]
-struct Disk {
+struct Kept {
     /// The disk has all up to this number.
     kept: u64,
     /// Why it takes no more.
@@ -118,6 +128,8 @@
 enum Ask {
     Status(oneshot::Sender<Status>),
     Order(Command),
+    Command(Bytes),
+    Read(oneshot::Sender<Option<Index>>),
     Change(Change, oneshot::Sender<Result<(), Refused>>),
     HandOver(MemberId, oneshot::Sender<Result<(), Refused>>),
 }
@@ -131,6 +143,8 @@
     address: SocketAddr,
     asks: mpsc::Sender<Ask>,
     leases: Arc<Leases>,
+    applied: watch::Receiver<Applied>,
+    id: MemberId,
     from: Instant,
     stop: CancellationToken,
     _end: DropGuard,
@@ -143,62 +157,107 @@
     /// # Errors
     /// See [`StartError`].
     pub async fn start(set: Settings, disk: Option<(Store, Stored)>, seed: u64) -> Result<Self, StartError> {
+        let disk = disk.map(|(store, stored)| (Box::new(store) as Box<dyn Disk>, stored));
+        Self::start_on(Arc::new(Tcp), set, disk, seed, ()).await
+    }
+
+    /// As [`Peers::start`], on this network and disk, with a state that is agreed on beside duties.
+    ///
+    /// # Errors
+    /// See [`StartError`].
+    pub async fn start_on<S: State + Send + Sync + 'static>(
+        net: Arc<dyn Net>,
+        set: Settings,
+        disk: Option<(Box<dyn Disk>, Stored)>,
+        seed: u64,
+        state: S,
+    ) -> Result<Self, StartError> {
         let faults = set.council.faults();
         if let Some(fault) = faults.into_iter().next() {
             return Err(fault.into());
         }
-        if let Some((store, _)) = &disk
-            && store.id() != set.id
+        if let Some((disk, _)) = &disk
+            && disk.id() != set.id
         {
-            return Err(StartError::Identity { found: store.id(), named: set.id });
+            return Err(StartError::Identity { found: disk.id(), named: set.id });
         }
-        let listening = async {
-            if !set.listen.ip().is_loopback() {
-                return Err(io::Error::other("peers' links carry no identity yet: loopback only"));
-            }
-            let listener = TcpListener::bind(set.listen).await?;
-            let address = listener.local_addr()?;
-            Ok((listener, address))
-        };
         let failed = |cause| StartError::Listen { address: set.listen, cause };
-        let (listener, address) = listening.await.map_err(failed)?;
+        let listener = net.listen(set.listen).await.map_err(failed)?;
+        let address = listener.address();
         let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
         let (heard, incoming) = mpsc::channel(INBOX);
         let (asks, asked) = mpsc::channel(INBOX);
         // The newest counts: it tells of all saves before it.
-        let (tell, told) = watch::channel(Disk::default());
-        let (store, stored) = disk.map_or((None, Stored::default()), |(store, stored)| (Some(store), stored));
-        let writer = match store {
-            Some(store) => {
-                let told = move |what| {
-                    tell.send_modify(|disk| match what {
-                        Told::Kept(number) => disk.kept = number,
-                        Told::Failed(fault) => disk.failed = Some(fault.to_string()),
-                    });
-                };
-                Some(Writer::start(store, SAVES, told).map_err(StartError::Thread)?)
-            }
-            None => None,
-        };
+        let (tell, told) = watch::channel(Kept::default());
+        let (disk, stored) = disk.map_or((None, Stored::default()), |(disk, stored)| (Some(disk), stored));
+        let tell = Box::new(move |what| {
+            tell.send_modify(|disk| match what {
+                Ok(number) => disk.kept = number,
+                Err(why) => disk.failed = Some(why),
+            });
+        });
+        let writer = disk.map(|disk| disk.serve(tell)).transpose().map_err(StartError::Thread)?;
         let from = Instant::now();
         let leases = Arc::new(Leases::default());
         let mut links = BTreeMap::new();
         for (peer, to) in set.peers.iter().filter(|(peer, _)| **peer != set.id) {
             let waiting = Arc::new(Waiting::default());
             links.insert(*peer, Arc::clone(&waiting));
-            let (to, largest, within, stop) = (*to, set.largest_frame, set.within, stop.clone());
-            tasks.spawn(async move { link::write(to, &waiting, largest, within, stop).await });
+            let (net, to, largest, within, stop) =
+                (Arc::clone(&net), *to, set.largest_frame, set.within, stop.clone());
+            tasks.spawn(async move { link::write(net.as_ref(), to, &waiting, largest, within, stop).await });
         }
         let door = Door { set: set.clone(), heard, stop: stop.clone(), tasks: tasks.clone() };
         tasks.spawn(door.run(listener));
         let voters = set.peers.keys().copied().collect();
-        let mut member = Member::new(set.id, stored, voters, set.council.clone(), seed, 0);
+        let mut member = Member::with_state(set.id, stored, voters, set.council.clone(), seed, 0, state);
         member.want(set.wants.clone(), set.weight);
-        let core = Core { member, links, writer, leases: Arc::clone(&leases), from, id: set.id, dropped: 0 };
+        let (progress, applied) = watch::channel(Applied::default());
+        let core = Core {
+            member,
+            links,
+            writer,
+            leases: Arc::clone(&leases),
+            progress,
+            reads: BTreeMap::new(),
+            from,
+            id: set.id,
+            dropped: 0,
+        };
         tasks.spawn(core.run(incoming, asked, told, stop.clone()));
         tracing::info!(event = "council_started", member = %set.id, %address);
         let end = stop.clone().drop_guard();
-        Ok(Self { address, asks, leases, from, stop, _end: end, tasks })
+        Ok(Self { address, asks, leases, applied, id: set.id, from, stop, _end: end, tasks })
+    }
+
+    /// Its identity.
+    pub fn id(&self) -> MemberId {
+        self.id
+    }
+
+    /// How far it has come, as it goes on.
+    pub fn applied(&self) -> watch::Receiver<Applied> {
+        self.applied.clone()
+    }
+
+    /// Has the council agree on a command for the state beside duties, if a leader can be reached. Whether it was
+    /// applied shows there alone; brought twice it may be applied twice.
+    ///
+    /// # Errors
+    /// [`Gone`].
+    pub async fn command(&self, command: Bytes) -> Result<(), Gone> {
+        self.asks.send(Ask::Command(command)).await.map_err(|_| Gone)
+    }
+
+    /// The entry up to which all was agreed when this was asked (the read index); none: ask again. It may wait for ever
+    /// where no leader answers.
+    ///
+    /// # Errors
+    /// [`Gone`].
+    pub async fn read_index(&self) -> Result<Option<Index>, Gone> {
+        let (reply, answer) = oneshot::channel();
+        self.asks.send(Ask::Read(reply)).await.map_err(|_| Gone)?;
+        Ok(answer.await.unwrap_or_default())
     }
 
     /// Where peers dial in.
@@ -265,40 +324,45 @@
 }
 
 /// The task that owns the member.
-struct Core {
-    member: Member,
+struct Core<S> {
+    member: Member<S>,
     links: BTreeMap<MemberId, Arc<Waiting>>,
-    writer: Option<Writer>,
+    writer: Option<Box<dyn Saves>>,
     leases: Arc<Leases>,
+    progress: watch::Sender<Applied>,
+    reads: BTreeMap<u64, oneshot::Sender<Option<Index>>>,
     from: Instant,
     id: MemberId,
     /// Messages that went for newer ones.
     dropped: u64,
 }
 
-impl Core {
+impl<S: State> Core<S> {
     async fn run(
         mut self,
         mut incoming: mpsc::Receiver<(MemberId, Peer)>,
         mut asks: mpsc::Receiver<Ask>,
-        mut told: watch::Receiver<Disk>,
+        mut told: watch::Receiver<Kept>,
         stop: CancellationToken,
     ) {
         loop {
             let due = self.from + Duration::from_micros(self.member.next_at());
             let wake = due.max(Instant::now() + LEAST_WAIT);
+            // In this order, so that the same events give the same course; asks are bounded by who asks, and the
+            // clock is looked at after each.
             let out = tokio::select! {
+                biased;
                 () = stop.cancelled() => break,
-                Some((from, message)) = incoming.recv() => {
-                    self.member.receive(micros(self.from), from, message)
-                }
                 Ok(()) = told.changed() => {
-                    let Disk { kept, failed } = told.borrow_and_update().clone();
+                    let Kept { kept, failed } = told.borrow_and_update().clone();
                     let mut out = self.member.saved(micros(self.from), kept);
                     out.extend(failed.into_iter().flat_map(|why| self.member.disk_failed(why)));
                     out
                 }
                 Some(ask) = asks.recv() => self.asked(ask),
+                Some((from, message)) = incoming.recv() => {
+                    self.member.receive(micros(self.from), from, message)
+                }
                 () = sleep_until(wake) => Vec::new(),
             };
             self.act(out);
@@ -310,8 +374,7 @@
         }
         self.leases.write().unwrap_or_else(PoisonError::into_inner).clear();
         if let Some(writer) = self.writer.take() {
-            // What was given to the disk is written; nobody may wait for a stalled one in a task.
-            let _ = tokio::task::spawn_blocking(|| drop(writer.close())).await;
+            writer.close().await;
         }
     }
 
@@ -323,6 +386,19 @@
                 Vec::new()
             }
             Ask::Order(command) => self.member.order(now, &command),
+            Ask::Command(command) => self.member.command(now, &command),
+            Ask::Read(reply) => {
+                if self.reads.len() >= READS {
+                    self.reads.retain(|_, waits| !waits.is_closed());
+                }
+                if self.reads.len() >= READS {
+                    let _ = reply.send(None);
+                    return Vec::new();
+                }
+                let (number, out) = self.member.read(now);
+                self.reads.insert(number, reply);
+                out
+            }
             Ask::Change(change, reply) => answered(self.member.change(now, change), reply),
             Ask::HandOver(to, reply) => answered(self.member.hand_over(now, to), reply),
         }
@@ -360,13 +436,18 @@
                 }
                 Out::Save(save) => {
                     let given = match &self.writer {
-                        Some(writer) => writer.save(save).map_err(|busy| busy.to_string()),
+                        Some(writer) => writer.save(save),
                         None => Err("it has no disk".to_owned()),
                     };
                     if let Err(why) = given {
                         left.extend(self.member.disk_failed(why));
                     }
                 }
+                Out::Read(number, index) => {
+                    if let Some(reply) = self.reads.remove(&number) {
+                        let _ = reply.send(index);
+                    }
+                }
                 Out::Changed(changed) => told_change(self.id, &changed),
                 Out::Note(note) => told_note(self.id, &note),
             }
@@ -374,6 +455,14 @@
     }
 
     fn publish(&mut self) {
+        let (index, stopped) = (self.member.duties().applied(), self.member.stopped());
+        self.progress.send_if_modified(|now| {
+            let news = now.index != index || now.stopped.as_deref() != stopped;
+            if news {
+                *now = Applied { index, stopped: stopped.map(str::to_owned) };
+            }
+            news
+        });
         let leases = self.member.leases();
         let mut shared = self.leases.write().unwrap_or_else(PoisonError::into_inner);
         shared.clear();
@@ -434,7 +523,7 @@
 type Newest = std::sync::Mutex<BTreeMap<MemberId, CancellationToken>>;
 
 impl Door {
-    async fn run(self, listener: TcpListener) {
+    async fn run(self, mut listener: Box<dyn Listen>) {
         let strangers = Arc::new(Semaphore::new(STRANGERS));
         let newest = Arc::new(Newest::default());
         let set = Arc::new(self.set);
@@ -448,7 +537,7 @@
                 () = self.stop.cancelled() => return,
                 accepted = listener.accept() => accepted,
             };
-            let (Ok(place), Ok((socket, _))) = (place, accepted) else {
+            let (Ok(place), Ok(socket)) = (place, accepted) else {
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
@@ -469,7 +558,7 @@
 }
 
 async fn read(
-    socket: TcpStream,
+    socket: Box<dyn Stream>,
     set: &Settings,
     heard: mpsc::Sender<(MemberId, Peer)>,
     newest: &Newest,
--- a/crates/stepspur-peers/tests/schema.rs
+++ b/crates/stepspur-peers/tests/schema.rs
@@ -58,6 +58,8 @@
         any::<(u64, u64)>().prop_map(|(number, a)| Peer::Renewed { number, applied: Index(a) }),
         any::<(u64, Vec<u8>)>().prop_map(|(number, b)| Peer::Order { number, command: b.into() }),
         (any::<u64>(), leader()).prop_map(|(number, leader)| Peer::Elsewhere { number, leader }),
+        any::<u64>().prop_map(|number| Peer::Read { number }),
+        any::<(u64, u64)>().prop_map(|(number, at)| Peer::ReadAt { number, index: Index(at) }),
         any::<u64>().prop_map(|from| Peer::Fetch { from: Index(from) }),
         (entries(), leader()).prop_map(|(entries, leader)| Peer::Fetched { entries, leader }),
         (any::<(u64, Vec<u8>)>(), leader()).prop_map(|((index, state), leader)| Peer::FetchedState {
--- /dev/null
+++ b/crates/stepspur-shared/src/turns.rs
@@ -0,0 +1,74 @@
+//! Who may propose now: so many at once of a book, and of a tenant in it, so that none starves the rest.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use crate::book::BookId;
+
+/// Proposals under way.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Turns(Arc<Mutex<Counts>>);
+
+#[derive(Debug, Default)]
+struct Counts {
+    books: BTreeMap<BookId, usize>,
+    tenants: BTreeMap<(BookId, String), usize>,
+}
+
+/// A proposal under way; it ends with this.
+#[derive(Debug)]
+pub(crate) struct Turn {
+    of: Turns,
+    book: BookId,
+    tenant: String,
+}
+
+impl Turns {
+    /// A turn, if the book and the tenant have room.
+    pub(crate) fn take(&self, book: BookId, tenant: &str, by_book: usize, by_tenant: usize) -> Option<Turn> {
+        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let of = (book, tenant.to_owned());
+        let [all, own] = [counts.books.get(&book), counts.tenants.get(&of)].map(|n| n.copied().unwrap_or(0));
+        if all >= by_book || own >= by_tenant {
+            return None;
+        }
+        counts.books.insert(book, all + 1);
+        counts.tenants.insert(of, own + 1);
+        Some(Turn { of: self.clone(), book, tenant: tenant.to_owned() })
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        let mut counts = self.of.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let of = (self.book, std::mem::take(&mut self.tenant));
+        counts.books.entry(self.book).and_modify(|n| *n -= 1);
+        let left = counts.tenants.get(&of).map_or(0, |n| n - 1);
+        match left {
+            0 => drop(counts.tenants.remove(&of)),
+            _ => drop(counts.tenants.insert(of, left)),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_tenant_leaves_room_for_the_rest_and_turns_come_back() {
+        let (turns, book) = (Turns::default(), BookId(1));
+        let take = |tenant: &str| turns.take(book, tenant, 4, 3);
+        let mut held: Vec<Turn> = (0..3).filter_map(|_| take("north")).collect();
+        assert_eq!((held.len(), take("north").is_none()), (3, true), "a tenant's room is bounded");
+        let south = take("south").expect("the rest has room");
+        assert!(take("west").is_none(), "and so is the book's");
+        drop((south, held.pop()));
+        assert!(take("west").is_some() && turns.take(BookId(2), "north", 4, 3).is_some());
+        drop(held);
+        assert!(
+            turns.0.lock().unwrap().tenants.is_empty(),
+            "nothing is kept of tenants that wait for nothing"
+        );
+    }
+}
--- /dev/null
+++ b/crates/stepspur-stories/src/disk.rs
@@ -0,0 +1,127 @@
+//! A disk in memory: what was saved stands, what was on its way is lost when its member is killed.
+
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use stepspur_council::{MemberId, Save, Stored};
+use stepspur_peers::{Disk, Later, Saves, Tell};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Saves that wait at most.
+const SAVES: usize = 1_024;
+
+/// What a disk holds at a moment.
+pub type Moment = Stored;
+
+#[derive(Debug)]
+struct State {
+    stored: Stored,
+    takes: Duration,
+    fails: Option<String>,
+    /// Rises when its member is killed: what an earlier life still writes is lost.
+    life: u64,
+}
+
+/// A member's disk.
+#[derive(Clone, Debug)]
+pub struct Image {
+    member: MemberId,
+    state: Arc<Mutex<State>>,
+}
+
+impl Image {
+    /// A disk that holds this.
+    pub fn new(member: MemberId, stored: Stored, takes: Duration) -> Self {
+        Self { member, state: Arc::new(Mutex::new(State { stored, takes, fails: None, life: 0 })) }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What it holds now.
+    pub fn moment(&self) -> Moment {
+        self.state().stored.clone()
+    }
+
+    /// Each save takes so long from now on.
+    pub fn takes(&self, takes: Duration) {
+        self.state().takes = takes;
+    }
+
+    /// It refuses all saves from now on.
+    pub fn fail(&self, why: &str) {
+        self.state().fails = Some(why.to_owned());
+    }
+
+    /// Its member is killed: what was not saved yet is lost.
+    pub fn cut(&self) {
+        self.state().life += 1;
+    }
+
+    /// Opens it: as a member takes it, and what it holds.
+    pub fn open(&self) -> (Box<dyn Disk>, Stored) {
+        let stored = self.moment();
+        (Box::new(Opened { image: self.clone(), life: self.state().life }), stored)
+    }
+
+    fn save(&self, life: u64, save: &Save) -> Option<Result<u64, String>> {
+        let mut state = self.state();
+        if state.life != life {
+            return None;
+        }
+        if let Some(why) = &state.fails {
+            return Some(Err(why.clone()));
+        }
+        state.stored = state.stored.after(save);
+        Some(Ok(save.number))
+    }
+}
+
+struct Opened {
+    image: Image,
+    life: u64,
+}
+
+impl Disk for Opened {
+    fn id(&self) -> MemberId {
+        self.image.member
+    }
+
+    fn serve(self: Box<Self>, mut tell: Tell) -> io::Result<Box<dyn Saves>> {
+        let (to, mut saves) = mpsc::channel::<Save>(SAVES);
+        let task = tokio::spawn(async move {
+            while let Some(save) = saves.recv().await {
+                let takes = self.image.state().takes;
+                sleep(takes).await;
+                match self.image.save(self.life, &save) {
+                    Some(Ok(number)) => tell(Ok(number)),
+                    Some(Err(why)) => return tell(Err(why)),
+                    None => return,
+                }
+            }
+        });
+        Ok(Box::new(Serving { to, task }))
+    }
+}
+
+struct Serving {
+    to: mpsc::Sender<Save>,
+    task: JoinHandle<()>,
+}
+
+impl Saves for Serving {
+    fn save(&self, save: Save) -> Result<(), String> {
+        self.to.try_send(save).map_err(|cause| format!("the disk takes no more: {cause}"))
+    }
+
+    fn close(self: Box<Self>) -> Later<'static, ()> {
+        Box::pin(async {
+            drop(self.to);
+            let _ = self.task.await;
+        })
+    }
+}
