--- a/crates/stepspur-peers/tests/rig/mod.rs
+++ b/crates/stepspur-peers/tests/rig/mod.rs
@@ -249,6 +249,8 @@
     address: SocketAddr,
     relays: BTreeMap<(u64, u64), (Relay, SocketAddr)>,
     processes: BTreeMap<u64, Child>,
+    /// Where members' processes serve clients, if they do.
+    served: BTreeMap<u64, SocketAddr>,
     duties: Vec<String>,
 }
 
@@ -277,7 +279,8 @@
             }
         }
         let duties = duties.iter().map(|d| (*d).to_owned()).collect();
-        let mut rig = Self { folder, receiver, address, relays, processes: BTreeMap::new(), duties };
+        let (processes, served) = (BTreeMap::new(), BTreeMap::new());
+        let mut rig = Self { folder, receiver, address, relays, processes, served, duties };
         let founding = Core::founding(all.iter().map(|m| MemberId(*m)).collect());
         for member in &all {
             drop(Store::create(&rig.disk(*member), MemberId(*member), &founding).expect("made"));
@@ -309,9 +312,17 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("a process");
-        let lines = BufReader::new(child.stdout.take().expect("piped")).lines().map_while(Result::ok);
-        let mut lines = lines.filter_map(|l| l.rsplit_once("listening ").and_then(|(_, at)| at.parse().ok()));
-        let address: SocketAddr = lines.next().expect("it listens");
+        let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines().map_while(Result::ok);
+        let address: SocketAddr = loop {
+            let line = lines.next().expect("it listens");
+            let told = |what| line.rsplit_once(what).and_then(|(_, at): (_, &str)| at.parse().ok());
+            if let Some(at) = told("serving ") {
+                self.served.insert(member, at);
+            }
+            if let Some(at) = told("listening ") {
+                break at;
+            }
+        };
         thread::spawn(move || lines.for_each(drop));
         for ((_, to), (relay, _)) in &self.relays {
             if *to == member {
@@ -321,6 +332,12 @@
         self.processes.insert(member, child);
     }
 
+    /// Where a member's process serves clients.
+    #[allow(dead_code, reason = "the test of shared books asks for it")]
+    pub fn served(&self, member: u64) -> SocketAddr {
+        self.served[&member]
+    }
+
     /// Kills a member's process at once.
     pub fn kill(&mut self, member: u64) {
         let mut child = self.processes.remove(&member).expect("it runs");
