--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,9 +42,7 @@
 /// Cold budget: the part that may be used, and the tries for an answer that it reckons with: at least
 /// `SURGE`, as jams are seen late, times requests beyond `OVERLOAD` of their mean over `SURGE_SPAN`.
 const COLD_MARGIN: f64 = 0.65;
-/// By it; more, up to `MOST_PRESSURE` as in a hot fleet, where warm servers bear `STRAINED` above their part.
 const SURGE: f64 = 2.5;
-const STRAINED: f64 = 0.5;
 const MOST_PRESSURE: f64 = 6.0;
 const SURGE_SPAN: f64 = 10_000_000.0;
 /// A part with cold servers names so many warm ones of other zones, each with half of the cold ones' weight
@@ -65,7 +63,7 @@
 const PROBE_SUSPECT: Micros = 400_000;
 /// Full servers turn probes away, seconds before reports tell of a jam. Beyond this part of them, smoothed by
 /// `TURNED_GAIN`, young servers are spared.
-const TURNED_AWAY: f64 = 0.3;
+const TURNED_AWAY: f64 = 0.5;
 const TURNED_GAIN: f64 = 0.1;
 /// Probes failed or answered in a row that take a server out or bring it back.
 const PROBES_OUT: u32 = 3;
@@ -360,8 +358,7 @@
         let blind = self.median == 0.0 && self.heat > 0.0;
         self.blind_until = if blind { self.now + RAMP } else { self.blind_until };
         self.heat = if self.median > 0.0 { self.median } else { self.heat };
-        let strained = SURGE + (MOST_PRESSURE - SURGE) * (self.strain - 1.0) / STRAINED;
-        let least = if self.heat > COOL { MOST_PRESSURE } else { strained.clamp(SURGE, MOST_PRESSURE) };
+        let least = if self.heat > COOL { MOST_PRESSURE } else { SURGE };
         let surge = (load / (OVERLOAD * self.load).max(1e-9)).max(1.0);
         self.pressure = surge * (tries / (tries - errors).max(1.0)).clamp(least, MOST_PRESSURE);
     }
