--- a/crates/stepspur-stories/src/fleet.rs
+++ b/crates/stepspur-stories/src/fleet.rs
@@ -6,8 +6,8 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stepspur_council::{Core, MemberId, Stored};
-use stepspur_peers::{Change, Peers, Settings};
+use stepspur_council::{Core, MemberId};
+use stepspur_peers::{Peers, Settings};
 use stepspur_shared::{Book, Books, Failed, Limits, OpId, Shared};
 use tokio::time::{Instant, sleep};
 
@@ -117,12 +117,6 @@
         self.nodes[&id].image.as_ref().expect("it votes")
     }
 
-    /// Puts another disk in place of a member's that does not run.
-    pub fn put(&mut self, id: MemberId, stored: Stored) {
-        let image = Image::new(id, stored, DISK);
-        self.nodes.entry(id).and_modify(|n| n.image = Some(image));
-    }
-
     /// The version of the book that a member has from its next start on.
     pub fn set_version(&mut self, id: MemberId, version: u16) {
         self.nodes.entry(id).and_modify(|n| n.version = version);
@@ -218,15 +212,6 @@
         }
     }
 
-    /// Changes who votes, by the leader.
-    ///
-    /// # Panics
-    /// If the leader refuses it.
-    pub async fn change(&self, change: Change) {
-        let leader = self.leader(&[]).await;
-        self.shared(leader).peers().change(change).await.expect("it runs").expect("the leader takes it");
-    }
-
     /// A member adds under a name, and what became of it is kept.
     ///
     /// # Errors
