--- a/crates/stepspur-platform/tests/common/mod.rs
+++ b/crates/stepspur-platform/tests/common/mod.rs
@@ -301,3 +301,72 @@
         self.lines.contains_key(name) && !self.out.contains(name)
     }
 }
+
+/// A stand-in for discovery whose every answer the test gives itself.
+pub struct Script {
+    pub address: SocketAddr,
+    listener: TcpListener,
+}
+
+impl Script {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self { address: listener.local_addr().unwrap(), listener }
+    }
+
+    /// The next call, its head read and nothing answered.
+    pub async fn next(&self) -> Call {
+        let (mut socket, _) = timeout(SOON, self.listener.accept()).await.expect("a call in time").unwrap();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(socket.read_u8().await.unwrap());
+        }
+        let head = String::from_utf8(head).unwrap();
+        Call { path: head.split(' ').nth(1).unwrap().to_owned(), socket }
+    }
+}
+
+/// A call that a test answers.
+pub struct Call {
+    pub path: String,
+    pub socket: TcpStream,
+}
+
+impl Call {
+    /// The head of a watch's answer.
+    pub async fn begin(mut self) -> Self {
+        self.socket.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.unwrap();
+        self
+    }
+
+    /// Bytes of a watch; they may be part of a line.
+    pub async fn chunk(&mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        self.socket.write_all(chunk.as_bytes()).await.unwrap();
+    }
+
+    pub async fn line(&mut self, list: &Value) {
+        self.chunk(&format!("{list}\n")).await;
+    }
+
+    /// The whole answer to a look-up.
+    pub async fn answer(mut self, list: &Value) {
+        let body = list.to_string();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        self.socket.write_all(answer.as_bytes()).await.unwrap();
+    }
+
+    /// Bytes of a line that never ends, until the caller gives up.
+    pub async fn trickle(mut self) {
+        let mut pace = tokio::time::interval(Duration::from_millis(50));
+        while self.socket.write_all(b"1\r\n{\r\n").await.is_ok() {
+            pace.tick().await;
+        }
+    }
+
+    /// Waits until the caller has ended it.
+    pub async fn ended(mut self) {
+        let read = timeout(SOON, self.socket.read_u8()).await.expect("its end in time");
+        assert!(read.is_err(), "a caller says nothing more");
+    }
+}
