Read a configuration after SIGHUP until it is whole, and name what only a start takes in

Cause: cli/src/platform.rs, reload, read the file 40 times within four seconds and then gave the hang-up up for good, so that a file written slowly never counted; it took `discovery` from the file alone, though a start takes it from the environment too, so that such a configuration could never be reloaded; and a change to name, listen, limits or settings was passed over without a word.

Change: after four seconds it is read once a second, and at once at a further SIGHUP; the environment counts as at a start; every value that differs and needs a start is logged as `reload_refused` with its place (`settings.rules.coldUs`, `settings.zones[0]`).

--- a/crates/stepspur-cli/src/platform.rs
+++ b/crates/stepspur-cli/src/platform.rs
@@ -1,7 +1,6 @@
 //! `stepspur run --platform`: a conductor on the users' platform, told by its environment, until SIGTERM.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -13,25 +12,26 @@
 
 use crate::End;
 
-/// A configuration that cannot be read after SIGHUP may be half written: it is read again so often and so soon.
-const READINGS: u32 = 40;
+/// A configuration that cannot be read after SIGHUP may be half written: it is read again so soon, so often, and then
+/// at a slower pace until it can be read or SIGHUP comes again.
 const READ_AGAIN: Duration = Duration::from_millis(100);
+const READINGS: u32 = 40;
+const READ_LATER: Duration = Duration::from_secs(1);
 
 pub async fn run() -> anyhow::Result<End> {
     // Before anything else: an unheeded SIGHUP would end the process.
     let mut hang_up = signal(SignalKind::hangup())?;
     let (mut interrupt, mut terminate) = (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
-    let config = match PlatformConfig::load(|key| std::env::var(key).ok()) {
+    let config = match PlatformConfig::load(environment) {
         Ok(config) => config,
         Err(fault) => {
             eprintln!("stepspur: {fault}");
             return Ok(End::WrongUse);
         }
     };
-    let path = PathBuf::from(std::env::var_os("LB_CONFIG").unwrap_or_default());
     let (discovery, newest) = watch::channel(config.discovery);
     let name = config.name.clone();
-    let mut conductor = Conductor::start_front(front(config, newest)).await?;
+    let mut conductor = Conductor::start_front(front(config.clone(), newest)).await?;
     let (listening, status, epoch) = (conductor.address(), conductor.status_address(), conductor.epoch());
     println!("{}", serde_json::to_string(&Announcement { listening, status, epoch })?);
     tracing::info!(event = "serving", name);
@@ -39,32 +39,45 @@
         _ = interrupt.recv() => Ok(()),
         _ = terminate.recv() => Ok(()),
         end = conductor.ended() => end.context("the conductor ended by itself"),
-        () = reload(&mut hang_up, &path, &discovery) => Ok(()),
+        () = reload(&mut hang_up, &config, &discovery) => Ok(()),
     };
     conductor.stop().await;
     end.map(|()| End::Well)
 }
 
-/// Reads the configuration again at each SIGHUP. One that cannot be read leaves the old one in force.
-async fn reload(hang_up: &mut Signal, path: &Path, discovery: &watch::Sender<SocketAddr>) {
+fn environment(key: &str) -> Option<String> {
+    std::env::var(key).ok()
+}
+
+/// Reads the configuration again at each SIGHUP. While it cannot be read the old one stays in force.
+async fn reload(hang_up: &mut Signal, config: &PlatformConfig, discovery: &watch::Sender<SocketAddr>) {
     loop {
         if hang_up.recv().await.is_none() {
             std::future::pending::<()>().await;
         }
-        for reading in 0..READINGS {
-            match PlatformConfig::discovery_now(path) {
-                Ok(address) => {
-                    discovery.send_if_modified(|known| std::mem::replace(known, address) != address);
-                    tracing::info!(event = "reloaded", %address);
-                    break;
-                }
-                Err(cause) => {
-                    if reading == 0 {
-                        tracing::warn!(event = "reload_failed", %cause);
-                    }
-                    tokio::time::sleep(READ_AGAIN).await;
-                }
+        let mut readings = 0;
+        let now = loop {
+            let cause = match config.reload(environment) {
+                Ok(now) => break now,
+                Err(cause) => cause,
+            };
+            readings += 1;
+            if readings == 1 {
+                tracing::warn!(event = "reload_failed", %cause);
+            } else if readings == READINGS {
+                tracing::warn!(event = "reload_waits", %cause);
+            }
+            let pause = if readings < READINGS { READ_AGAIN } else { READ_LATER };
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                Some(()) = hang_up.recv() => {}
             }
+        };
+        for place in now.refused {
+            tracing::warn!(event = "reload_refused", place, cause = "it takes a restart to change this");
         }
+        let address = now.discovery;
+        discovery.send_if_modified(|known| std::mem::replace(known, address) != address);
+        tracing::info!(event = "reloaded", %address);
     }
 }
--- a/crates/stepspur-platform/src/config.rs
+++ b/crates/stepspur-platform/src/config.rs
@@ -1,11 +1,13 @@
 //! What a conductor is told at its start, and again at each SIGHUP.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::value::RawValue;
 use stepspur::interface::{Admit, Settings};
 use stepspur_conductor::Config;
@@ -62,6 +64,10 @@
 /// All that a conductor is told.
 #[derive(Clone, Debug)]
 pub struct PlatformConfig {
+    /// The file.
+    path: PathBuf,
+    /// What of the file cannot change while a conductor runs.
+    fixed: Fixed,
     /// Its name, the same after a restart.
     pub name: String,
     /// Where discovery answers.
@@ -111,9 +117,29 @@
     name: String,
 }
 
+/// Values of the file that only a start takes in.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+struct Fixed {
+    #[serde(default)]
+    name: Value,
+    #[serde(default)]
+    listen: Value,
+    limits: Value,
+    settings: Value,
+}
+
 #[derive(Deserialize)]
 struct Discovery {
-    discovery: SocketAddr,
+    discovery: Option<SocketAddr>,
+}
+
+/// What the file says to a conductor that runs already.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reloaded {
+    /// Where discovery answers now.
+    pub discovery: SocketAddr,
+    /// Values that differ and would need a start, by their place; what they were stays in force.
+    pub refused: Vec<String>,
 }
 
 impl PlatformConfig {
@@ -126,18 +152,9 @@
         let text = read(&path)?;
         let parse = |cause| ConfigError::Parse { path: path.clone(), cause };
         let file: File<'_> = serde_json::from_slice(&text).map_err(parse)?;
-        let told = |key: &'static str| -> Result<Option<SocketAddr>, ConfigError> {
-            let Some(text) = env(key) else { return Ok(None) };
-            let wrong = |_| ConfigError::Value {
-                path: "the environment".into(),
-                key,
-                what: format!("`{text}` is no address with a port"),
-            };
-            text.parse().map(Some).map_err(wrong)
-        };
-        let listen = file.listen.or(told("LB_LISTEN")?).ok_or(ConfigError::Missing("LB_LISTEN"))?;
-        let discovery = file.discovery.or(told("LB_DISCOVERY")?);
-        let discovery = discovery.ok_or(ConfigError::Missing("LB_DISCOVERY"))?;
+        let fixed: Fixed = serde_json::from_slice(&text).map_err(parse)?;
+        let listen = address(file.listen, "LB_LISTEN", &env)?;
+        let discovery = address(file.discovery, "LB_DISCOVERY", &env)?;
         let settings = |cause| ConfigError::Settings { path: path.clone(), cause };
         let raw = file.settings.get();
         let names: Names = serde_json::from_str(raw).map_err(settings)?;
@@ -161,17 +178,66 @@
         let budget = budget.ok_or_else(|| value("limits.sockets", "leaves no descriptor for connections"))?;
         let name = file.name.or_else(|| env("LB_NAME")).ok_or(ConfigError::Missing("LB_NAME"))?;
         let (known, discovery) = (file.known, discovery);
-        Ok(Self { name, discovery, seed, known, conductor, settings, catalog, budget })
+        Ok(Self { path, fixed, name, discovery, seed, known, conductor, settings, catalog, budget })
     }
 
-    /// Where discovery answers by the file as it is now.
+    /// What the file says now. Its `seed` and `known` are for starts, and may differ.
     ///
     /// # Errors
     /// [`ConfigError`], also while the file is half written.
-    pub fn discovery_now(path: &Path) -> Result<SocketAddr, ConfigError> {
-        let text = read(path)?;
-        let now: Result<Discovery, _> = serde_json::from_slice(&text);
-        now.map(|now| now.discovery).map_err(|cause| ConfigError::Parse { path: path.to_owned(), cause })
+    pub fn reload(&self, env: impl Fn(&str) -> Option<String>) -> Result<Reloaded, ConfigError> {
+        let text = read(&self.path)?;
+        let parse = |cause| ConfigError::Parse { path: self.path.clone(), cause };
+        let now: Discovery = serde_json::from_slice(&text).map_err(parse)?;
+        let fixed: Fixed = serde_json::from_slice(&text).map_err(parse)?;
+        let discovery = address(now.discovery, "LB_DISCOVERY", &env)?;
+        let mut refused = Vec::new();
+        let pairs = [
+            ("name", &self.fixed.name, &fixed.name),
+            ("listen", &self.fixed.listen, &fixed.listen),
+            ("limits", &self.fixed.limits, &fixed.limits),
+            ("settings", &self.fixed.settings, &fixed.settings),
+        ];
+        pairs.into_iter().for_each(|(place, old, new)| differences(place, old, new, &mut refused));
+        Ok(Reloaded { discovery, refused })
+    }
+}
+
+/// An address of the file, or else of the environment.
+fn address(
+    file: Option<SocketAddr>,
+    key: &'static str,
+    env: &impl Fn(&str) -> Option<String>,
+) -> Result<SocketAddr, ConfigError> {
+    if let Some(address) = file {
+        return Ok(address);
+    }
+    let text = env(key).ok_or(ConfigError::Missing(key))?;
+    let wrong = |_| ConfigError::Value {
+        path: "the environment".into(),
+        key,
+        what: format!("`{text}` is no address with a port"),
+    };
+    text.parse().map_err(wrong)
+}
+
+/// The places at which two values differ, the innermost ones.
+fn differences(place: &str, old: &Value, new: &Value, found: &mut Vec<String>) {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => {
+            let keys: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+            for key in keys {
+                let value = |of: &serde_json::Map<String, Value>| of.get(key).cloned().unwrap_or_default();
+                differences(&format!("{place}.{key}"), &value(old), &value(new), found);
+            }
+        }
+        (Value::Array(old), Value::Array(new)) if old.len() == new.len() => {
+            for (k, (old, new)) in old.iter().zip(new).enumerate() {
+                differences(&format!("{place}[{k}]"), old, new, found);
+            }
+        }
+        _ if old != new => found.push(place.to_owned()),
+        _ => {}
     }
 }
 
