--- a/crates/stepspur-platform/tests/common/mod.rs
+++ b/crates/stepspur-platform/tests/common/mod.rs
@@ -223,7 +223,11 @@
 
 impl Caller {
     pub async fn dial(address: SocketAddr) -> Self {
-        let (read, write) = TcpStream::connect(address).await.unwrap().into_split();
+        Self::over(TcpStream::connect(address).await.unwrap())
+    }
+
+    pub fn over(socket: TcpStream) -> Self {
+        let (read, write) = socket.into_split();
         let (lines, out) = (BTreeMap::new(), BTreeSet::new());
         Self { read: BufReader::new(read).lines(), write, lines, out, whole: 0, marks: Vec::new() }
     }
@@ -248,10 +252,15 @@
 
     /// The next line; none once the stream has ended.
     pub async fn next(&mut self) -> Option<Value> {
-        let line = timeout(SOON, self.read.next_line()).await.expect("a line or the end in time").ok()??;
+        let line = timeout(SOON, self.line()).await.expect("a line or the end in time")?;
         Some(serde_json::from_str(&line).unwrap())
     }
 
+    /// The next line, however long it takes; the last may be torn.
+    pub async fn line(&mut self) -> Option<String> {
+        self.read.next_line().await.ok()?
+    }
+
     /// Applies the next message, whole, and answers its mark.
     pub async fn apply(&mut self, number: usize) -> Option<()> {
         loop {
