Answer operators and write their changes down though the conductor stops

Cause, found by reading what ends things: operator.rs, run, dropped a connection under way at once when the conductor stopped (`() = stop.cancelled() => {}` beside `serve`), also between a change that had taken effect and its line in the audit log; the operator then had no answer and the log no line. service/mod.rs, stop, waited for ever for a task that a hanging disk holds. stepspur-shared, Books::wait and give_up: one who waits took the place of another who waits for the same operation, and took it along when giving up, so that a repeat after a lost answer ended as unknown at once; a proposal whose future is dropped left its place for ever.

Change: connections of operators end gracefully within the conductor's grace; a task that does not end 2 s after that is logged (`left_behind`) and left; each who waits has a place of its own, which goes with it.

Each guard taken out and seen to fail: graceful end (1 test), places of their own (1), places that go (1).

--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -120,6 +120,8 @@
     }
 }
 
+/// A task that has not ended so long after it was told to end at once is left behind.
+const LEFT_BEHIND: Duration = Duration::from_secs(2);
 /// Inputs that may wait for the engine; those who send more wait.
 const INBOX: usize = 16_384;
 /// Probes that may wait for their turn.
@@ -198,7 +200,8 @@
             operators = Some(bound(&listener, address)?);
             let (identity, tenants) = (Arc::clone(identity), Arc::clone(&tenants));
             let desk = operator::Desk { identity, tenants, council: council.clone() };
-            let run = operator::run(listener, desk, tasks.clone(), stop.clone());
+            let shutdown = Shutdown { stop: stop.clone(), kill: kill.clone() };
+            let run = operator::run(listener, desk, tasks.clone(), shutdown);
             tasks.spawn(needed("operators' listener").task(run));
         }
         if let Some(listener) = status {
@@ -276,7 +279,10 @@
         self.tasks.close();
         if tokio::time::timeout(self.grace, self.tasks.wait()).await.is_err() {
             self.kill.cancel();
-            self.tasks.wait().await;
+            // A disk that hangs holds the audit log's task for ever.
+            if tokio::time::timeout(LEFT_BEHIND, self.tasks.wait()).await.is_err() {
+                tracing::error!(event = "left_behind", tasks = self.tasks.len());
+            }
         }
         if let Some(council) = self.council.take().and_then(Arc::into_inner) {
             council.stop().await;
--- a/crates/stepspur-conductor/src/service/operator.rs
+++ b/crates/stepspur-conductor/src/service/operator.rs
@@ -28,11 +28,11 @@
 use stepspur_peers::{Change, Gone, MemberId, Peers, Refused};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::audit::entry;
 use super::core::Inbox;
+use super::front::Shutdown;
 use super::identity::{Identity, wall};
 use crate::engine::Operation;
 
@@ -50,7 +50,9 @@
     pub council: Option<Arc<Peers>>,
 }
 
-pub(crate) async fn run(listener: TcpListener, desk: Desk, tasks: TaskTracker, stop: CancellationToken) {
+/// Takes calls until the conductor stops. What has been ordered by then is still written down and answered.
+pub(crate) async fn run(listener: TcpListener, desk: Desk, tasks: TaskTracker, shutdown: Shutdown) {
+    let Shutdown { stop, kill } = shutdown;
     let identity = Arc::clone(&desk.identity);
     let desk = Arc::new(desk);
     let router = Router::new()
@@ -75,21 +77,31 @@
             continue;
         };
         let Ok(place) = identity.enter(peer.ip()) else {
-            tracing::warn!(event = "door_closed", %peer);
+            tracing::warn!(event = "listener_full", %peer);
             continue;
         };
-        let (identity, router, stop) = (Arc::clone(&identity), router.clone(), stop.clone());
+        let (identity, router) = (Arc::clone(&identity), router.clone());
+        let (stop, kill) = (stop.clone(), kill.clone());
         tasks.spawn(async move {
-            let Some((stream, cert)) = identity.handshake(socket).await else { return };
+            let shaken = tokio::select! {
+                shaken = identity.handshake(socket) => shaken,
+                () = stop.cancelled() => return,
+            };
+            let Some((stream, cert)) = shaken else { return };
             drop(place);
             let service = TowerToHyperService::new(router.layer(Extension(Connected { cert, peer })));
             let serve = hyper::server::conn::http1::Builder::new()
                 .timer(hyper_util::rt::TokioTimer::new())
                 .header_read_timeout(identity.handshake_timeout())
                 .serve_connection(TokioIo::new(stream), service);
+            let mut serve = std::pin::pin!(serve);
+            tokio::select! {
+                _ = &mut serve => return,
+                () = stop.cancelled() => serve.as_mut().graceful_shutdown(),
+            }
             tokio::select! {
                 _ = serve => {}
-                () = stop.cancelled() => {}
+                () = kill.cancelled() => {}
             }
         });
     }
--- a/crates/stepspur-conductor/src/service/session.rs
+++ b/crates/stepspur-conductor/src/service/session.rs
@@ -60,7 +60,7 @@
             return self.serve(read, write, None).await;
         };
         let Ok(place) = identity.enter(self.peer.ip()) else {
-            tracing::warn!(event = "door_closed", peer = %self.peer);
+            tracing::warn!(event = "listener_full", peer = %self.peer);
             return;
         };
         let shaken = tokio::select! {
--- a/crates/stepspur-conductor/tests/identity.rs
+++ b/crates/stepspur-conductor/tests/identity.rs
@@ -644,6 +644,49 @@
     assert!(count("refused: the right is missing") == 30, "{audit}");
 }
 
+/// The conductor is told to stop between a change that took effect and its line in the audit log: the line is still
+/// written, and the operator answered. The log is a pipe that is full until the test reads it.
+#[tokio::test]
+async fn a_change_that_took_effect_is_written_down_and_answered_though_the_conductor_stops() {
+    let keys = Keys::new("stopping");
+    let path = keys.folder.join("audit.jsonl");
+    assert!(std::process::Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let mut pipe = std::fs::OpenOptions::new().read(true).write(true).open(&path).unwrap();
+    let conductor = keys.start(keys.config()).await;
+    let (address, operators) = (conductor.address(), conductor.operators_address().unwrap());
+    let token = keys.token("north", "p", Rights::PROXY, 600);
+    let (joined, proxy) = Proxy::join(address, keys.client(None), "p", "a", token).await;
+    assert_eq!(joined, Join::Bound(6));
+    let full = [b' '; 64 << 10];
+    std::io::Write::write_all(&mut pipe, &full).unwrap();
+    let token = keys.token("north", "olga", [Right::Change].into_iter().collect(), 600);
+    let (client, body) = (keys.client(None), "{\"server\": \"127.0.0.1:9001\", \"on\": true}");
+    let called = tokio::spawn(async move { call(operators, client, &token, "POST /v1/drain", body).await });
+    let mut proxy = proxy.unwrap();
+    let drained =
+        |line: &v1::Line| line.weight == 0.0 && line.server.as_ref().is_some_and(|s| s.port == 9001);
+    loop {
+        match proxy.next().await.expect("the stream stands") {
+            from_conductor::Kind::Order(order) if order.lines.iter().any(drained) => break,
+            _ => {}
+        }
+    }
+    let stopping = tokio::spawn(conductor.stop());
+    while TcpStream::connect(operators).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    let read = tokio::task::spawn_blocking(move || {
+        let mut log = vec![0; full.len()];
+        std::io::Read::read_exact(&mut pipe, &mut log).unwrap();
+        std::io::BufRead::read_line(&mut std::io::BufReader::new(pipe), &mut String::new()).unwrap()
+    });
+    let (status, answer) = timeout(LONG, called).await.unwrap().unwrap();
+    // A pipe can't be synced: the change is done, and the answer says so.
+    assert_eq!((status, answer.contains("done")), (507, true), "{answer}");
+    assert!(timeout(LONG, read).await.unwrap().unwrap() > 0);
+    timeout(LONG, stopping).await.expect("it ends").unwrap();
+}
+
 /// Five hundred half-open handshakes of strangers, and known proxies rejoin: without the kept places they could not.
 #[tokio::test(flavor = "multi_thread")]
 async fn strangers_never_starve_known_proxies() {
--- a/crates/stepspur-shared/src/books.rs
+++ b/crates/stepspur-shared/src/books.rs
@@ -1,6 +1,6 @@
 //! All books of a member, and which operations took effect.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
 
 use bytes::Bytes;
@@ -28,8 +28,29 @@
     order: VecDeque<(Index, OpId)>,
     done: BTreeMap<OpId, Outcome>,
     applied: Index,
-    /// Those who wait for an operation here. It is no part of what is agreed.
-    waiting: BTreeMap<OpId, oneshot::Sender<Outcome>>,
+    /// Those who wait for an operation here, each by a number of its own. It is no part of what is agreed.
+    waiting: BTreeMap<(OpId, u64), oneshot::Sender<Outcome>>,
+    waits: u64,
+}
+
+/// Someone waits for an operation, until this is dropped.
+pub(crate) struct Wait {
+    books: Books,
+    place: (OpId, u64),
+    told: oneshot::Receiver<Outcome>,
+}
+
+impl Wait {
+    /// What became of it, once it is applied here.
+    pub(crate) async fn outcome(&mut self) -> Option<Outcome> {
+        (&mut self.told).await.ok()
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        self.books.change(|inner| drop(inner.waiting.remove(&self.place)));
+    }
 }
 
 /// The state in a snapshot.
@@ -51,6 +72,7 @@
             done: BTreeMap::new(),
             applied: Index(0),
             waiting: BTreeMap::new(),
+            waits: 0,
         })))
     }
 
@@ -85,19 +107,19 @@
         inner.books.iter().map(|(id, book)| (*id, Sha256::digest(book.encode()).into())).collect()
     }
 
-    /// Tells of this operation once it is applied here; at once if it was.
-    pub(crate) fn wait(&self, id: OpId) -> oneshot::Receiver<Outcome> {
+    /// Tells of this operation once it is applied here; at once if it was. Several may wait for the same.
+    pub(crate) fn wait(&self, id: OpId) -> Wait {
         let (tell, told) = oneshot::channel();
-        self.change(|inner| match inner.done.get(&id) {
-            Some(outcome) => drop(tell.send(outcome.clone())),
-            None => drop(inner.waiting.insert(id, tell)),
+        let place = self.change(|inner| {
+            inner.waits += 1;
+            let place = (id, inner.waits);
+            match inner.done.get(&id) {
+                Some(outcome) => drop(tell.send(outcome.clone())),
+                None => drop(inner.waiting.insert(place, tell)),
+            }
+            place
         });
-        told
-    }
-
-    /// Nobody waits for this operation any more.
-    pub(crate) fn give_up(&self, id: &OpId) {
-        self.change(|inner| drop(inner.waiting.remove(id)));
+        Wait { books: self.clone(), place, told }
     }
 }
 
@@ -131,12 +153,18 @@
         while let Some((_, id)) = self.order.pop_front_if(|(at, _)| at.0 + KEPT < index.0) {
             self.done.remove(&id);
         }
-        if let Some(tell) = self.waiting.remove(&id) {
-            let _ = tell.send(outcome);
-        }
+        self.tell(id, &outcome);
         Ok(())
     }
 
+    /// Tells all who wait for an operation.
+    fn tell(&mut self, id: OpId, outcome: &Outcome) {
+        let places: Vec<_> = self.waiting.range((id, 0)..=(id, u64::MAX)).map(|(place, _)| *place).collect();
+        for tell in places.iter().filter_map(|place| self.waiting.remove(place)).collect::<Vec<_>>() {
+            let _ = tell.send(outcome.clone());
+        }
+    }
+
     fn encode(&self) -> Vec<u8> {
         let books = self.books.iter().map(|(id, book)| (*id, book.version(), book.encode())).collect();
         let done = self.order.iter().filter_map(|(at, id)| Some((*at, *id, self.done.get(id)?.clone())));
@@ -164,10 +192,10 @@
         self.applied = whole.applied;
         self.order = whole.done.iter().map(|(at, id, _)| (*at, *id)).collect();
         self.done = whole.done.into_iter().map(|(_, id, outcome)| (id, outcome)).collect();
-        let told: Vec<OpId> = self.waiting.keys().filter(|id| self.done.contains_key(id)).copied().collect();
+        let told: BTreeSet<OpId> = self.waiting.keys().map(|(id, _)| *id).collect();
         for id in told {
-            if let (Some(tell), Some(outcome)) = (self.waiting.remove(&id), self.done.get(&id)) {
-                let _ = tell.send(outcome.clone());
+            if let Some(outcome) = self.done.get(&id).cloned() {
+                self.tell(id, &outcome);
             }
         }
         Ok(())
@@ -190,3 +218,6 @@
         self.change(|inner| inner.restore(state))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/stepspur-shared/src/shared.rs
+++ b/crates/stepspur-shared/src/shared.rs
@@ -147,14 +147,12 @@
                     return None;
                 }
                 // A repeat is harmless: the id takes effect once.
-                if let Ok(outcome) = timeout(self.limits.again, &mut told).await {
-                    return outcome.ok();
+                if let Ok(outcome) = timeout(self.limits.again, told.outcome()).await {
+                    return outcome;
                 }
             }
         };
-        let outcome = timeout_at(until, brought).await;
-        self.books.give_up(&id);
-        match outcome {
+        match timeout_at(until, brought).await {
             Ok(Some(Outcome::Done(answer))) => Ok(answer),
             Ok(Some(Outcome::Refused(refusal))) => Err(refusal.into()),
             Ok(Some(Outcome::TooOld)) => Err(Failed::TooOld(id)),
