--- a/crates/stepspur-cli/tests/platform.rs
+++ b/crates/stepspur-cli/tests/platform.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
-use common::{Running, call, command, node, watched};
+use common::{PATIENCE, Running, call, command, node, watched};
 
 fn configuration(discovery: SocketAddr) -> String {
     common::configuration(discovery, 4, &[node("s-1", "ready")])
@@ -90,6 +91,34 @@
     assert_eq!(&answer, b"{\"@type\":\"hb_ok\"}\n");
 }
 
+/// More callers than the kernel lets it hold, whatever its configuration says: it goes on, and takes a proxy in.
+#[test]
+fn a_process_at_its_descriptor_limit_goes_on() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    std::fs::write(&path, configuration(discovery.local_addr().unwrap())).unwrap();
+    let program = command(&path);
+    let mut limited = Command::new("sh");
+    limited.args(["-c", "ulimit -n 40; exec \"$0\" run --platform"]).arg(program.get_program());
+    limited.env("LB_CONFIG", &path).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut running = Running::start(limited);
+    let _watch = watched(&discovery, 2, true, &[]);
+    let flood: Vec<_> = (0..60).map(|_| TcpStream::connect(running.listening).unwrap()).collect();
+    running.logs("accept_failed");
+    let mut proxy = TcpStream::connect(running.listening).unwrap();
+    proxy.set_read_timeout(Some(PATIENCE)).unwrap();
+    proxy
+        .write_all(b"{\"@type\":\"attach\",\"proxy\":0,\"zone\":\"a\",\"weight\":1,\"fresh\":true}\n")
+        .unwrap();
+    proxy.write_all(b"{\"@type\":\"hb\"}\n").unwrap();
+    let mut lines = BufReader::new(proxy).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line == "{\"@type\":\"hb_ok\"}"), "it has joined");
+    drop(flood);
+    running.signal("-TERM");
+    assert_eq!(running.ended(), Some(0));
+}
+
 /// The old discovery is gone and the file half written: it ends well all the same.
 #[test]
 fn a_hang_up_and_sigterm_together_end_it_well() {
