Force the engine's full queue in a test: who tells waits, and 40,000 reports count

Need: of the endings' table the engine's full queue was not forced. Change: a dialect that stands still until the test lets go, and the kernel's count of bytes that lie unread at the conductor as the event that its reader waits.

--- a/crates/stepspur-platform/tests/endings.rs
+++ b/crates/stepspur-platform/tests/endings.rs
@@ -4,6 +4,7 @@
 mod closing;
 mod common;
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use stepspur_proto::FrameError;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, interval, timeout};
 
 /// The platform's lines, each order followed by so many bytes that mean nothing: no kernel holds them all.
@@ -39,6 +40,22 @@
     }
 }
 
+/// The platform's lines, worded only once the test has let go of the gate: until then the engine stands still.
+struct Gated(dialect::Lines, Mutex<std::sync::mpsc::Receiver<()>>, mpsc::Sender<()>);
+
+impl Dialect for Gated {
+    fn order(&self, at: Stamp, order: &Order, servers: &ServerIds, most: usize) -> Result<Bytes, FrameError> {
+        let _ = self.2.try_send(());
+        // The worker gives its other tasks away before it stands still.
+        let _ = tokio::task::block_in_place(|| self.1.lock().unwrap().recv_timeout(SOON));
+        self.0.order(at, order, servers, most)
+    }
+
+    fn farewell(&self, at: Stamp, farewell: Farewell<'_>) -> Bytes {
+        self.0.farewell(at, farewell)
+    }
+}
+
 /// More than the kernel keeps for a connection, on both sides.
 const HUGE: usize = 16 << 20;
 
@@ -261,3 +278,35 @@
     counts(&conductor, |s| s.nonsense == 3000).await;
     conductor.stop().await;
 }
+
+/// The engine stands still and its queue is full: who tells waits, and nothing that came is dropped.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_comes_while_the_engines_queue_is_full_waits_and_counts() {
+    let discovery = StandIn::start(&[node(0, "ready", 0)]).await;
+    let config = load(&file(discovery.address, 8, 256, &list(0, true, &[])));
+    let (_, newest) = watch::channel(config.discovery);
+    let ((gate, is_open), (reached, mut stands)) = (std::sync::mpsc::channel(), mpsc::channel(1));
+    let lines = dialect::Lines::new(config.catalog.classes.clone());
+    let mut front = front(config, newest);
+    front.dialect = Box::new(Gated(lines, Mutex::new(is_open), reached));
+    let conductor = Conductor::start_front(front).await.unwrap();
+    counts(&conductor, |s| s.servers[0] == 1).await;
+    let _proxy = deaf(&conductor, 0).await;
+    timeout(SOON, stands.recv()).await.expect("the engine stands still");
+    let mut collector = TcpStream::connect(conductor.address()).await.unwrap();
+    let ends = Ends::of(&collector);
+    let report = json!({"@type": "upstream_stats", "zone": "a", "server": "none", "tries": 1, "failed": 1, "span_ms": 1.0});
+    let reports = format!("{report}\n").repeat(40_000);
+    let telling = tokio::spawn(async move {
+        collector
+            .write_all(format!("{{\"@type\":\"telemetry\",\"zone\":\"a\"}}\n{reports}").as_bytes())
+            .await
+            .unwrap();
+    });
+    // The collector's task reads no more: it waits for the engine.
+    ends.unread(32 << 10).await;
+    drop(gate);
+    timeout(SOON, telling).await.expect("all is taken").unwrap();
+    counts(&conductor, |s| s.nonsense == 40_000).await;
+    conductor.stop().await;
+}
