Wait in the full queue's test until the conductor has read one report more than it holds

Cause: the test let go once 32 KiB lay unread, which the writer reaches before the queue is full: with `EngineLink::tell` dropping instead of waiting it still passed. Change: it lets go once what was written, less what the kernel still holds on both sides, is 16,385 reports.

--- a/crates/stepspur-conductor/tests/common/closing.rs
+++ b/crates/stepspur-conductor/tests/common/closing.rs
@@ -19,33 +19,33 @@
 
     /// Waits until the conductor has closed its end, and fails if that reset the connection.
     pub async fn closed_in_order(self, stream: &TcpStream) {
+        let (deadline, mut look) = (Instant::now() + LONG, interval(Duration::from_millis(5)));
         // Its end has vanished, or waits for stray segments alone (06).
-        self.until(|row| row.is_none_or(|row| row.starts_with("06"))).await;
+        while self.row([0, 1]).is_some_and(|row| !row.starts_with("06")) {
+            assert!(Instant::now() < deadline, "the conductor keeps its end");
+            look.tick().await;
+        }
         assert!(stream.take_error().unwrap().is_none(), "reset");
     }
 
-    /// Waits until so many bytes lie unread at the conductor.
-    pub async fn unread(self, bytes: u64) {
-        let queue = |row: &str| u64::from_str_radix(row.split([' ', ':']).nth(2)?, 16).ok();
-        self.until(|row| row.and_then(queue).is_some_and(|unread| unread >= bytes)).await;
+    /// Bytes on their way to the conductor that it has not read: with the kernel on this side, and on its own.
+    pub fn unread(&self) -> u64 {
+        let queue = |ends, place| {
+            let row = self.row(ends)?;
+            u64::from_str_radix(row.split([' ', ':']).nth(place)?, 16).ok()
+        };
+        // Of a row the sending queue comes first, then what came.
+        queue([1, 0], 1).unwrap_or(0) + queue([0, 1], 2).unwrap_or(0)
     }
 
-    /// Waits until the kernel's row of the conductor's end is so: its state, and what lies in its queues.
-    async fn until(&self, is: impl Fn(Option<&str>) -> bool) {
+    /// The kernel's row of an end, named by itself and its other: its state, and what lies in its queues.
+    fn row(&self, ends: [usize; 2]) -> Option<String> {
         let hex = |at: SocketAddr| match at.ip() {
             IpAddr::V4(ip) => format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), at.port()),
             IpAddr::V6(ip) => panic!("{ip}"),
         };
-        let ends = format!("{} {} ", hex(self.0[0]), hex(self.0[1]));
-        let (deadline, mut look) = (Instant::now() + LONG, interval(Duration::from_millis(5)));
-        loop {
-            let table = std::fs::read_to_string("/proc/self/net/tcp").unwrap();
-            let row = table.lines().find_map(|line| Some(line.split_once(&ends)?.1));
-            if is(row) {
-                return;
-            }
-            assert!(Instant::now() < deadline, "the conductor's end: {row:?}");
-            look.tick().await;
-        }
+        let ends = format!("{} {} ", hex(self.0[ends[0]]), hex(self.0[ends[1]]));
+        let table = std::fs::read_to_string("/proc/self/net/tcp").unwrap();
+        table.lines().find_map(|line| Some(line.split_once(&ends)?.1.to_owned()))
     }
 }
--- a/crates/stepspur-platform/tests/endings.rs
+++ b/crates/stepspur-platform/tests/endings.rs
@@ -4,7 +4,8 @@
 mod closing;
 mod common;
 
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,6 +60,9 @@
 /// More than the kernel keeps for a connection, on both sides.
 const HUGE: usize = 16 << 20;
 
+/// What the engine's queue holds.
+const QUEUE: u64 = 16_384;
+
 /// A conductor with four servers whose orders are `padding` bytes longer, and that takes its time to end.
 async fn start(padding: usize) -> (Conductor, StandIn) {
     let discovery = StandIn::start(&(0..4).map(|k| node(k, "ready", 0)).collect::<Vec<_>>()).await;
@@ -296,17 +300,25 @@
     let mut collector = TcpStream::connect(conductor.address()).await.unwrap();
     let ends = Ends::of(&collector);
     let report = json!({"@type": "upstream_stats", "zone": "a", "server": "none", "tries": 1, "failed": 1, "span_ms": 1.0});
-    let reports = format!("{report}\n").repeat(40_000);
+    let report = format!("{report}\n");
+    let (long, written) = (report.len() as u64, Arc::new(AtomicU64::new(0)));
+    let count = Arc::clone(&written);
     let telling = tokio::spawn(async move {
+        collector.write_all(b"{\"@type\":\"telemetry\",\"zone\":\"a\"}\n").await.unwrap();
+        for _ in 0..400 {
+            collector.write_all(report.repeat(100).as_bytes()).await.unwrap();
+            count.fetch_add(100 * long, Ordering::SeqCst);
+        }
         collector
-            .write_all(format!("{{\"@type\":\"telemetry\",\"zone\":\"a\"}}\n{reports}").as_bytes())
-            .await
-            .unwrap();
     });
-    // The collector's task reads no more: it waits for the engine.
-    ends.unread(32 << 10).await;
+    // The conductor has read one report more than its queue holds: who reads them waits for the engine.
+    let (deadline, mut look) = (Instant::now() + SOON, interval(Duration::from_millis(5)));
+    while written.load(Ordering::SeqCst).saturating_sub(ends.unread()) < (QUEUE + 1) * long {
+        assert!(Instant::now() < deadline, "{} of {}", ends.unread(), written.load(Ordering::SeqCst));
+        look.tick().await;
+    }
     drop(gate);
-    timeout(SOON, telling).await.expect("all is taken").unwrap();
+    let _collector = timeout(SOON, telling).await.expect("all is taken").unwrap();
     counts(&conductor, |s| s.nonsense == 40_000).await;
     conductor.stop().await;
 }
