--- a/crates/stepspur-cli/tests/platform.rs
+++ b/crates/stepspur-cli/tests/platform.rs
@@ -4,15 +4,35 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use common::{PATIENCE, Running, call, command, node, watched};
+use tempfile::TempDir;
 
 fn configuration(discovery: SocketAddr) -> String {
     common::configuration(discovery, 4, &[node("s-1", "ready")])
 }
 
+/// A conductor that runs, its file, where discovery answers by it, and another place where it may.
+struct Begun {
+    path: PathBuf,
+    old: TcpListener,
+    new: TcpListener,
+    running: Running,
+    _folder: TempDir,
+}
+
+fn begun() -> Begun {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    std::fs::write(&path, configuration(old.local_addr().unwrap())).unwrap();
+    let running = Running::start(command(&path));
+    Begun { path, old, new, running, _folder: folder }
+}
+
 /// Processes that any thread of this one has started.
 fn children(pid: u32) -> String {
     let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).unwrap();
@@ -23,11 +43,7 @@
 
 #[test]
 fn it_serves_moves_on_a_hang_up_and_ends_on_sigterm() {
-    let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("config.json");
-    let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    std::fs::write(&path, configuration(old.local_addr().unwrap())).unwrap();
-    let mut running = Running::start(command(&path));
+    let Begun { path, old, new, mut running, _folder } = begun();
     let mut heartbeat = TcpStream::connect(running.listening).unwrap();
     heartbeat.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     heartbeat.write_all(b"{\"@type\":\"hb\"}\n").unwrap();
@@ -51,11 +67,7 @@
 /// However long it takes until the file is whole, it counts then; before, the old one did.
 #[test]
 fn a_configuration_that_stays_half_written_is_read_once_it_is_whole() {
-    let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("config.json");
-    let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    std::fs::write(&path, configuration(old.local_addr().unwrap())).unwrap();
-    let running = Running::start(command(&path));
+    let Begun { path, old, new, running, _folder } = begun();
     let _watch = watched(&old, 2, true, &[]);
     let next = configuration(new.local_addr().unwrap());
     std::fs::write(&path, &next[..next.len() / 2]).unwrap();
@@ -68,11 +80,7 @@
 /// What only a start takes in is named with its place, and nothing of it is taken in by halves.
 #[test]
 fn what_a_hang_up_cannot_change_is_refused_with_its_place() {
-    let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("config.json");
-    let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    std::fs::write(&path, configuration(old.local_addr().unwrap())).unwrap();
-    let running = Running::start(command(&path));
+    let Begun { path, old, new, running, _folder } = begun();
     let _watch = watched(&old, 2, true, &[]);
     let next = configuration(new.local_addr().unwrap());
     let next =
@@ -122,12 +130,8 @@
 /// The old discovery is gone and the file half written: it ends well all the same.
 #[test]
 fn a_hang_up_and_sigterm_together_end_it_well() {
-    let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("config.json");
-    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
-    std::fs::write(&path, configuration(discovery.local_addr().unwrap())).unwrap();
-    let mut running = Running::start(command(&path));
-    let _hangs = call(&discovery);
+    let Begun { path, old, mut running, _folder, .. } = begun();
+    let _hangs = call(&old);
     std::fs::write(&path, "{").unwrap();
     // Both are pending before the process runs again.
     running.signal("-STOP");
