Keep the lingering close's buffer off the future of every connection

Ruled out: queues by bytes (two words a stream), the kept configuration (one a process). Change: the buffer is on the heap while a connection is being closed, and nowhere else.

--- a/crates/stepspur-conductor/src/service/linger.rs
+++ b/crates/stepspur-conductor/src/service/linger.rs
@@ -29,7 +29,8 @@
 
 /// Reads until the peer ends.
 pub(crate) async fn drain(read: &mut (impl AsyncRead + Unpin)) -> io::Result<()> {
-    let (mut buffer, mut left) = ([0; 4096], MOST);
+    // On the heap: within the future it would be kept for each connection as long as that stands.
+    let (mut buffer, mut left) = (vec![0; 4096], MOST);
     while left > 0 {
         match read.read(&mut buffer).await? {
             0 => return Ok(()),
