Test that a reload takes discovery from where a start takes it

Change: one test, with and without the address in the file. Result: it passes, and fails with the fallback out.

--- a/crates/stepspur-platform/tests/messages.rs
+++ b/crates/stepspur-platform/tests/messages.rs
@@ -362,3 +362,25 @@
     assert!(load(&few.to_string()).unwrap_err().to_string().contains("limits.sockets"));
     assert!(matches!(PlatformConfig::load(|_| None), Err(ConfigError::Missing("LB_CONFIG"))));
 }
+
+/// A start that was told of discovery by the environment can be told anew by the file, and the other way round.
+#[test]
+fn a_reload_takes_discovery_from_where_a_start_takes_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let env = |key: &str| match key {
+        "LB_CONFIG" => Some(path.display().to_string()),
+        "LB_DISCOVERY" => Some("127.0.0.1:7".to_owned()),
+        _ => None,
+    };
+    let told = common::file("127.0.0.1:1".parse().unwrap(), 4, 256, &common::list(0, true, &[]));
+    let mut untold = told.clone();
+    untold.as_object_mut().unwrap().remove("discovery");
+    std::fs::write(&path, untold.to_string()).unwrap();
+    let config = PlatformConfig::load(env).unwrap();
+    for (file, port) in [(&untold, 7), (&told, 1), (&untold, 7)] {
+        std::fs::write(&path, file.to_string()).unwrap();
+        let now = config.reload(env).unwrap();
+        assert_eq!((now.discovery.port(), now.refused.len()), (port, 0));
+    }
+}
