Give applied commands their log position, and word the messages of configuration

Versions of the configuration must compare by term and then by index, so that neither a lagging control member nor two leaders take a conductor back; State::apply and Book::apply were told the index alone. They now get a LogPosition.

--- a/crates/stepspur-council/src/ids.rs
+++ b/crates/stepspur-council/src/ids.rs
@@ -19,6 +19,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Index(pub u64);
 
+/// An entry's position in the history of a council: its term, then its index. Of two agreed entries the later one has
+/// the higher position, whoever led.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct LogPosition {
+    /// The term of the leader that wrote it.
+    pub term: Term,
+    /// Its place in the log.
+    pub index: Index,
+}
+
 impl Term {
     /// The term after this one.
     pub fn next(self) -> Self {
--- a/crates/stepspur-council/src/lib.rs
+++ b/crates/stepspur-council/src/lib.rs
@@ -28,7 +28,7 @@
 pub use core::{Change, Core, Effect, Question, Refused, Save, Stored};
 pub use duty::{BadName, Changed, Command, Duties, Duty, DutyName, MOST_DUTIES, Token};
 pub use fence::{Fence, Stale};
-pub use ids::{Index, MemberId, Micros, Term};
+pub use ids::{Index, LogPosition, MemberId, Micros, Term};
 pub use lease::{Holder, Keeper};
 pub use log::{Entry, Log, Payload, Snapshot, Voters};
 pub use member::Member;
--- a/crates/stepspur-council/src/member.rs
+++ b/crates/stepspur-council/src/member.rs
@@ -7,7 +7,7 @@
 
 use crate::core::{Change, Core, Effect, Refused, Stored};
 use crate::duty::{Command, Duties, DutyName, Token};
-use crate::ids::{Index, MemberId, Micros};
+use crate::ids::{Index, LogPosition, MemberId, Micros};
 use crate::lease::{Holder, Keeper};
 use crate::log::{Entry, Payload, Voters};
 use crate::peer::{Out, Peer, Waiting};
@@ -377,7 +377,8 @@
         }
         let changes = match &entry.payload {
             Payload::Command(command) if command.first() == Some(&SHARED) => {
-                if let Err(why) = self.state.apply(entry.index, &command[1..]) {
+                let position = LogPosition { term: entry.term, index: entry.index };
+                if let Err(why) = self.state.apply(position, &command[1..]) {
                     return self.stop(format!("entry {}: {why}", entry.index));
                 }
                 self.duties.pass(entry.index);
--- a/crates/stepspur-council/src/state.rs
+++ b/crates/stepspur-council/src/state.rs
@@ -2,18 +2,18 @@
 
 use bytes::Bytes;
 
-use crate::ids::Index;
+use crate::ids::{Index, LogPosition};
 
 /// What a command for such a state begins with in the log; those on duties are JSON.
 pub(crate) const SHARED: u8 = 1;
 
 /// A state that every member comes to by the same entries: no clock, chance, float or hash order decides in it.
 pub trait State {
-    /// Applies an entry's command.
+    /// Applies the command of the entry at this position.
     ///
     /// # Errors
     /// Why this program does not know it: its member stops before the entry, and applies none after it.
-    fn apply(&mut self, index: Index, command: &[u8]) -> Result<(), String>;
+    fn apply(&mut self, position: LogPosition, command: &[u8]) -> Result<(), String>;
 
     /// The state as a snapshot holds it; empty where there is none.
     fn encode(&self) -> Bytes;
@@ -27,7 +27,7 @@
 
 /// Nothing is agreed beside duties.
 impl State for () {
-    fn apply(&mut self, _: Index, _: &[u8]) -> Result<(), String> {
+    fn apply(&mut self, _: LogPosition, _: &[u8]) -> Result<(), String> {
         Err("a command of books, and this program keeps none".to_owned())
     }
 
--- a/crates/stepspur-proto/src/lib.rs
+++ b/crates/stepspur-proto/src/lib.rs
@@ -18,7 +18,10 @@
     include!(concat!(env!("OUT_DIR"), "/stepspur.proxy.v1.rs"));
 }
 
-pub use v1::{FromConductor, FromPeer, FromProxy, from_conductor, from_peer, from_proxy};
+pub use v1::{
+    FromConductor, FromControl, FromPeer, FromProxy, FromSubscriber, from_conductor, from_control, from_peer,
+    from_proxy, from_subscriber,
+};
 
 /// The version of the protocol that this crate speaks.
 pub const VERSION: u32 = 1;
--- a/crates/stepspur-shared/src/book.rs
+++ b/crates/stepspur-shared/src/book.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use stepspur_council::Index;
+use stepspur_council::LogPosition;
 
 /// A book's number. It is never given to another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -37,12 +37,12 @@
         1
     }
 
-    /// Applies a command of a known version, at this entry. What it gives is the proposer's answer, of
+    /// Applies a command of a known version, of the entry at this position. What it gives is the proposer's answer, of
     /// [`crate::OUTCOME_MOST`] bytes at most.
     ///
     /// # Errors
     /// [`Refusal`], and then nothing has changed.
-    fn apply(&mut self, index: Index, version: u16, body: &[u8]) -> Result<Bytes, Refusal>;
+    fn apply(&mut self, position: LogPosition, version: u16, body: &[u8]) -> Result<Bytes, Refusal>;
 
     /// Its part of a snapshot: the same bytes at every member that has applied the same entries.
     fn encode(&self) -> Vec<u8>;
--- a/crates/stepspur-shared/src/books.rs
+++ b/crates/stepspur-shared/src/books.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use stepspur_council::{Index, State};
+use stepspur_council::{Index, LogPosition, State};
 use tokio::sync::oneshot;
 
 use crate::book::{Book, BookId, Refusal};
@@ -124,7 +124,8 @@
 }
 
 impl Inner {
-    fn apply(&mut self, index: Index, command: &[u8]) -> Result<(), String> {
+    fn apply(&mut self, position: LogPosition, command: &[u8]) -> Result<(), String> {
+        let index = position.index;
         let command = Command::decode(command)?;
         let Some(book) = self.books.get_mut(&command.book) else {
             return Err(format!("book {} is not known to this program: start a newer one", command.book));
@@ -141,7 +142,7 @@
         } else if index.0 > id.since.0 + KEPT {
             Outcome::TooOld
         } else {
-            let outcome = match book.apply(index, command.version, &command.body) {
+            let outcome = match book.apply(position, command.version, &command.body) {
                 Ok(answer) => Outcome::Done(answer.iter().copied().take(OUTCOME_MOST).collect()),
                 Err(Refusal(why)) => Outcome::Refused(Refusal(why.chars().take(OUTCOME_MOST / 4).collect())),
             };
@@ -203,11 +204,11 @@
 }
 
 impl State for Books {
-    fn apply(&mut self, index: Index, command: &[u8]) -> Result<(), String> {
+    fn apply(&mut self, position: LogPosition, command: &[u8]) -> Result<(), String> {
         if command.len() > 2 * BODY_MOST {
             return Err(format!("a command of {} bytes", command.len()));
         }
-        self.change(|inner| inner.apply(index, command))
+        self.change(|inner| inner.apply(position, command))
     }
 
     fn encode(&self) -> Bytes {
--- a/crates/stepspur-shared/src/books/tests.rs
+++ b/crates/stepspur-shared/src/books/tests.rs
@@ -1,4 +1,4 @@
-use stepspur_council::MemberId;
+use stepspur_council::{MemberId, Term};
 
 use super::*;
 
@@ -14,7 +14,7 @@
         1
     }
 
-    fn apply(&mut self, _: Index, _: u16, body: &[u8]) -> Result<Bytes, Refusal> {
+    fn apply(&mut self, _: LogPosition, _: u16, body: &[u8]) -> Result<Bytes, Refusal> {
         Ok(Bytes::copy_from_slice(body))
     }
 
@@ -27,6 +27,10 @@
     }
 }
 
+fn position(index: u64) -> LogPosition {
+    LogPosition { term: Term(1), index: Index(index) }
+}
+
 fn command(id: OpId) -> Vec<u8> {
     Command { id, book: BookId(1), version: 1, body: b"x".to_vec() }.encode().to_vec()
 }
@@ -43,10 +47,10 @@
         drop(first);
         if by_snapshot {
             let mut other = Books::new([Box::new(Echo) as Box<dyn Book>]);
-            other.apply(Index(2), &command(id)).unwrap();
+            other.apply(position(2), &command(id)).unwrap();
             books.restore(Index(2), &other.encode()).unwrap();
         } else {
-            books.apply(Index(1), &command(id)).unwrap();
+            books.apply(position(1), &command(id)).unwrap();
         }
         assert_eq!(second.outcome().await, Some(Outcome::Done(b"x".to_vec())), "by snapshot: {by_snapshot}");
     }
--- a/crates/stepspur-stories/src/tally.rs
+++ b/crates/stepspur-stories/src/tally.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use stepspur_council::Index;
+use stepspur_council::LogPosition;
 use stepspur_shared::{Book, BookId, Refusal};
 
 /// The number of the book of sums.
@@ -42,7 +42,7 @@
         self.version
     }
 
-    fn apply(&mut self, _: Index, _: u16, body: &[u8]) -> Result<Bytes, Refusal> {
+    fn apply(&mut self, _: LogPosition, _: u16, body: &[u8]) -> Result<Bytes, Refusal> {
         let Add(name, more) = postcard::from_bytes(body).map_err(|cause| Refusal(cause.to_string()))?;
         let sum = self.sum(&name).checked_add(more).ok_or_else(|| Refusal("beyond what fits".to_owned()))?;
         self.sums.insert(name, sum);
