Serve configuration from control members: the book, sessions, and where a version is

This is the control side.

The register makes no version.

A control member runs a listener, an evaluator that looks whom a version concerns up by service, a registrar that batches, and a reporter. A session has no queue: it writes what lies between what it told and the head, one bounded frame at a time. Summaries tell the leader all once and then changes, and its answer counts a subscriber only where a fresh summary proves the version.

--- a/crates/stepspur-distribution/src/lib.rs
+++ b/crates/stepspur-distribution/src/lib.rs
@@ -6,5 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod book;
+pub mod control;
 pub mod document;
 pub mod version;
--- /dev/null
+++ b/crates/stepspur-distribution/tests/control/standings.rs
@@ -0,0 +1,203 @@
+//! Where a version is in force, as the leader answers.
+
+use std::time::Duration;
+
+use stepspur_council::MemberId;
+use stepspur_distribution::control::{Standing, StandingError};
+use stepspur_distribution::version::Version;
+use stepspur_proto::v1;
+use tokio::time::{sleep, timeout};
+
+use crate::support::{PATIENCE, Rig, Shape, Subscriber, first, level};
+
+const WITHIN: Duration = Duration::from_secs(10);
+const THREE: Shape = Shape { members: 3, snapshot_bytes_per_s: 1 << 20, subscribers_max: 100 };
+
+/// A subscriber that acknowledges all it is sent, until it is told to stop.
+struct Obedient {
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Obedient {
+    fn serve(mut subscriber: Subscriber) -> Self {
+        let task = tokio::spawn(async move {
+            loop {
+                let (_, to, _) = subscriber.delta().await;
+                subscriber.acknowledge(to).await;
+            }
+        });
+        Self { task }
+    }
+
+    fn end(self) {
+        self.task.abort();
+    }
+}
+
+/// Attached and registered subscribers of the shop, one at each of these members.
+async fn attached(rig: &Rig, members: &[u64]) -> Vec<Subscriber> {
+    let head = rig.control(1).status().head;
+    let mut subscribers = Vec::new();
+    for member in members {
+        rig.reaches(*member, head).await;
+        subscribers.push(rig.attach(*member, first(&format!("at {member}"), "shop", head)).await);
+    }
+    rig.registered(members.len()).await;
+    subscribers
+}
+
+fn names(standing: &Standing) -> Vec<&str> {
+    standing.missing.iter().map(|missing| missing.name.as_str()).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_version_is_everywhere_once_all_whom_it_concerns_have_acknowledged_it() {
+    let rig = Rig::start(THREE).await;
+    let mut subscribers = attached(&rig, &[1, 2, 3]).await;
+    rig.attach(1, first("other", "mail", Version::NONE)).await;
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    for subscriber in &mut subscribers {
+        assert_eq!(subscriber.delta().await.1, version);
+    }
+    let before =
+        rig.standing(version, |told| told.missing.iter().all(|m| m.reason == "not acknowledged yet")).await;
+    assert_eq!((before.expected, before.in_force, before.everywhere), (3, 0, false));
+    assert_eq!(names(&before), ["at 1", "at 2", "at 3"]);
+    assert!(before.missing.iter().all(|missing| missing.in_force < version));
+    for subscriber in &mut subscribers {
+        subscriber.acknowledge(version).await;
+    }
+    let after = rig.standing(version, |told| told.everywhere).await;
+    assert_eq!((after.expected, after.in_force, after.missing.len()), (3, 3, 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_that_cannot_apply_is_named_with_its_reason() {
+    let rig = Rig::start(THREE).await;
+    let mut subscribers = attached(&rig, &[1, 2]).await;
+    let held = rig.control(1).status().head;
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    assert_eq!(subscribers[0].delta().await.1, version);
+    subscribers[0].acknowledge(version).await;
+    assert_eq!(subscribers[1].delta().await.1, version);
+    let document = v1::ConfigDocument {
+        target: Some(v1::config_document::Target::Class("bulk".to_owned())),
+        ..Default::default()
+    };
+    let unapplied = v1::UnappliedDocument { document: Some(document), reason: "no such class".to_owned() };
+    subscribers[1].unapplied(held, vec![unapplied]).await;
+    let wanted = |told: &Standing| told.in_force == 1 && told.missing[0].reason.contains("applied");
+    let told = rig.standing(version, wanted).await;
+    assert_eq!(names(&told), ["at 2"]);
+    assert_eq!(told.missing[0].reason, "class bulk not applied: no such class");
+    assert_eq!(told.missing[0].in_force, held);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_that_is_cut_off_is_named_with_the_time_since_until_it_is_removed() {
+    let rig = Rig::start(THREE).await;
+    let mut subscribers = attached(&rig, &[1, 2]).await;
+    drop(subscribers.pop());
+    let here = Obedient::serve(subscribers.remove(0));
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    let wanted = |told: &Standing| told.in_force == 1 && told.missing[0].reason.starts_with("detached");
+    let told = rig.standing(version, wanted).await;
+    assert_eq!((told.expected, names(&told)), (2, vec!["at 2"]));
+    assert!(told.missing[0].reason.starts_with("detached from control member 2"), "{told:?}");
+    let before = told.missing[0].since_s;
+    sleep(Duration::from_secs(5)).await;
+    let later = rig.standing(version, wanted).await.missing[0].since_s;
+    assert!((4.9..5.5).contains(&(later - before)), "{before} {later}");
+    assert!(rig.control(2).remove("at 2", WITHIN).await.unwrap());
+    assert!(!rig.control(2).remove("at 2", WITHIN).await.unwrap());
+    let told = rig.standing(version, |told| told.everywhere).await;
+    assert_eq!((told.expected, told.in_force), (1, 1));
+    here.end();
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_that_comes_back_elsewhere_counts_where_it_is() {
+    let rig = Rig::start(THREE).await;
+    let mut subscribers = attached(&rig, &[2]).await;
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    assert_eq!(subscribers[0].delta().await.1, version);
+    drop(subscribers);
+    rig.standing(version, |told| told.missing.iter().any(|m| m.reason.starts_with("detached"))).await;
+    rig.reaches(3, version).await;
+    let moved = rig.attach(3, first("at 2", "shop", version)).await;
+    let told = rig.standing(version, |told| told.everywhere).await;
+    assert_eq!((told.expected, told.in_force), (1, 1));
+    drop(moved);
+}
+
+/// A control member that is cut off from the leader: its subscribers may have anything, and nothing of it is known.
+#[tokio::test(start_paused = true)]
+async fn a_control_member_that_reports_no_more_proves_nothing() {
+    let mut rig = Rig::start(THREE).await;
+    let subscribers = attached(&rig, &[2]).await;
+    let served: Vec<_> = subscribers.into_iter().map(Obedient::serve).collect();
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    rig.standing(version, |told| told.everywhere).await;
+    let stopped = rig.controls.remove(&2).unwrap();
+    timeout(PATIENCE, stopped.stop()).await.unwrap();
+    let told = rig.standing(version, |told| !told.everywhere).await;
+    assert_eq!(names(&told), ["at 2"]);
+    let wanted = |told: &Standing| told.missing[0].reason == "control member 2 does not report";
+    rig.standing(version, wanted).await;
+    served.into_iter().for_each(Obedient::end);
+}
+
+/// Its summaries come, and speak of an earlier head: the member follows the council no more.
+#[tokio::test(start_paused = true)]
+async fn a_control_member_that_has_not_the_version_proves_nothing() {
+    let rig = Rig::start(THREE).await;
+    let subscribers = attached(&rig, &[2]).await;
+    let held = rig.control(1).status().head;
+    // Its links of the council are silent, and those to the leader's control address are not.
+    let member = |id| MemberId(id);
+    for other in [1, 3] {
+        rig.wire.silence(member(2), member(other), true);
+        rig.wire.silence(member(other), member(2), true);
+    }
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    let told = rig.standing(version, |told| told.missing.len() == 1).await;
+    assert_eq!((told.expected, names(&told)), (1, vec!["at 2"]));
+    assert_eq!(rig.control(2).status().head, held);
+    for _ in 0..30 {
+        assert!(!rig.standing(version, |_| true).await.everywhere);
+        sleep(Duration::from_millis(200)).await;
+    }
+    drop(subscribers);
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_the_leader_answers_and_only_of_versions_that_are_kept() {
+    let rig = Rig::start(THREE).await;
+    let head = rig.control(1).status().head;
+    rig.standing(head, |_| true).await;
+    let other = rig.control(2).standing(head).await;
+    assert!(matches!(other, Err(StandingError::NotLeader { leader: Some(1) | None })), "{other:?}");
+    let oldest = Version::NONE;
+    for unknown in [Version::NONE, Version { term: head.term, index: head.index + 1 }] {
+        let told = rig.control(1).standing(unknown).await;
+        assert_eq!(told, Err(StandingError::UnknownVersion { head, oldest }));
+    }
+}
+
+/// More than one proposal's worth of subscribers, attached at once, and one that an operator removed while attached.
+#[tokio::test(start_paused = true)]
+async fn all_who_attach_are_registered_and_an_attached_one_is_again_after_its_removal() {
+    let rig = Rig::start(Shape { subscribers_max: 200, ..THREE }).await;
+    let head = rig.control(1).status().head;
+    let mut subscribers = Vec::new();
+    for n in 0..150 {
+        let insists = v1::ConfigSubscribe { insists: true, ..first(&format!("{n:03}"), "shop", head) };
+        let mut subscriber = rig.attach(1, insists).await;
+        subscribers.push(tokio::spawn(async move { subscriber.quiet(PATIENCE * 2).await }));
+    }
+    rig.registered(150).await;
+    assert_eq!(rig.control(1).status().attached, 150);
+    assert!(rig.control(1).remove("007", WITHIN).await.unwrap());
+    rig.registered(150).await;
+    subscribers.iter().for_each(tokio::task::JoinHandle::abort);
+}
