Add the subscriber: it dials by placement, keeps, applies and acknowledges by version

Cause: conductors had no side of the distribution of configuration.

Change: crates/stepspur-distribution gets subscriber (link and keeper tasks), placement (rendezvous hashing, own region first) and store (redb file and memory).

--- a/crates/stepspur-distribution/src/lib.rs
+++ b/crates/stepspur-distribution/src/lib.rs
@@ -9,4 +9,7 @@
 pub mod book;
 pub mod control;
 pub mod document;
+pub mod placement;
+pub mod store;
+pub mod subscriber;
 pub mod version;
