Word the settings of the distribution, with examples for a control member and a subscriber

The distribution of configuration had no settings, so that no program could start it. Add [distribution.control] and [distribution.subscriber] with their bounds (loopback only, a control member needs the council, every fault with its key), one field in the conductor's settings, and two examples. Council::start_with starts a member with a state that is agreed on beside duties. Nothing starts by the settings yet, and without them nothing changes.

--- a/crates/stepspur-conductor/src/config.rs
+++ b/crates/stepspur-conductor/src/config.rs
@@ -11,6 +11,7 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 use stepspur::interface::{Admit, Class, Effect, Group, Micros, Settings};
+use stepspur_distribution::config::Distribution;
 use stepspur_identity::tls::ClientCertificates;
 use stepspur_peers::Council;
 
@@ -52,6 +53,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[garde(dive)]
     pub council: Option<Council>,
+    /// Configuration that many conductors share, served or subscribed to; none where left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(dive)]
+    pub distribution: Option<Distribution>,
     /// Further tenants, each with servers and decisions of its own; the rest of the settings is the same.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     #[garde(dive, custom(tenants_need_identity(&self.identity)))]
@@ -614,8 +619,10 @@
     /// All settings that are out of bounds; empty if the conductor may start.
     pub fn faults(&self) -> Vec<Fault> {
         let report = self.validate().err();
-        let faults = report.iter().flat_map(|report| report.iter());
-        faults.map(|(key, what)| Fault { key: key.to_string(), what: what.to_string() }).collect()
+        let bounds = report.iter().flat_map(|report| report.iter());
+        let bounds = bounds.map(|(key, what)| Fault { key: key.to_string(), what: what.to_string() });
+        let beside = self.distribution.iter().flat_map(|set| set.faults_beside(self.council.as_ref()));
+        bounds.chain(beside.map(|(key, what)| Fault { key, what })).collect()
     }
 
     /// The settings as the decision module takes them.
--- a/crates/stepspur-conductor/tests/common/mod.rs
+++ b/crates/stepspur-conductor/tests/common/mod.rs
@@ -56,6 +56,7 @@
         status: Default::default(),
         identity: None,
         council: None,
+        distribution: None,
         tenants: Default::default(),
     }
 }
--- a/crates/stepspur-distribution/src/lib.rs
+++ b/crates/stepspur-distribution/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 pub mod book;
+pub mod config;
 pub mod control;
 pub mod document;
 pub mod placement;
--- a/crates/stepspur-peers/src/config.rs
+++ b/crates/stepspur-peers/src/config.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use garde::Validate;
 use serde::{Deserialize, Serialize};
-use stepspur_council::{Core, MemberId, Stored};
+use stepspur_council::{Core, MemberId, State, Stored};
 use stepspur_state::{Fault, Store};
 
+use crate::ground::{Disk, Tcp};
 use crate::service::{Peers, Settings, StartError};
 
 /// A council of conductors, and this one's place in it.
@@ -150,11 +152,23 @@
     /// # Errors
     /// See [`StartError`].
     pub async fn start(&self, seed: u64) -> Result<Peers, StartError> {
+        self.start_with(seed, ()).await
+    }
+
+    /// As [`Council::start`], with a state that is agreed on beside duties.
+    ///
+    /// # Errors
+    /// See [`StartError`].
+    pub async fn start_with<S: State + Send + Sync + 'static>(
+        &self,
+        seed: u64,
+        state: S,
+    ) -> Result<Peers, StartError> {
         let path = self.state.clone();
         let opened: Result<Result<(Store, Stored), Fault>, _> =
             tokio::task::spawn_blocking(move || Store::open(&path)).await;
         let disk = match opened {
-            Ok(Ok(disk)) => Some(disk),
+            Ok(Ok((store, stored))) => Some((Box::new(store) as Box<dyn Disk>, stored)),
             Ok(Err(cause)) => {
                 tracing::error!(event = "council_without_state", member = %MemberId(self.id), %cause);
                 None
@@ -164,6 +178,6 @@
                 None
             }
         };
-        Peers::start(self.settings(), disk, seed ^ self.id).await
+        Peers::start_on(Arc::new(Tcp), self.settings(), disk, seed ^ self.id, state).await
     }
 }
--- a/crates/stepspur-platform/src/config.rs
+++ b/crates/stepspur-platform/src/config.rs
@@ -313,6 +313,7 @@
         identity: None,
         // Conductors share nothing here.
         council: None,
+        distribution: None,
         tenants: Default::default(),
     }
 }
