Measure what one more server, proxy, probe or member costs, and write CAPACITY.md by it

stepspur-scale slopes starts the real program beside hollow proxies, servers and a list, and fits each size's repeats; stepspur-scale capacity writes the page's tables from its JSON.

--- /dev/null
+++ b/crates/stepspur-scale/src/capacity/fleet.rs
@@ -0,0 +1,136 @@
+//! The scale run's figures on the page, as far as they are given.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::Path;
+
+use anyhow::Context;
+use serde::Deserialize;
+
+use crate::slopes::rounded;
+
+/// Runs of the scale rig: what `fleet --json` wrote, one run or several sizes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+pub enum Fleet {
+    /// Several runs.
+    Several(Vec<Report>),
+    /// One run.
+    One(Box<Report>),
+}
+
+/// What the page tells of a run.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Report {
+    /// How large it was.
+    fleet: Size,
+    /// All conductors start at once.
+    start: FullStart,
+    /// Its phases.
+    phases: Vec<Phase>,
+    /// What the judge holds against it.
+    verdict: Verdict,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Size {
+    conductors: usize,
+    real: usize,
+    controls: usize,
+    servers: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct FullStart {
+    hollow_ms: f64,
+    real_ms: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Phase {
+    name: String,
+    changes: usize,
+    travel: Travel,
+    usage: BTreeMap<String, RoleUsage>,
+    level_ms: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Travel {
+    in_force: Spread,
+    at_proxies: Spread,
+    missing: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Spread {
+    p50_ms: f64,
+    p99_ms: f64,
+    most_ms: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct RoleUsage {
+    cpu_percent: f64,
+    resident_mb: f64,
+    bytes_per_s_with_headers: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Verdict {
+    named: Vec<serde_json::Value>,
+}
+
+/// Reads what the scale run wrote.
+///
+/// # Errors
+/// If there is no such file, or it has another form.
+pub fn read(path: &Path) -> anyhow::Result<Fleet> {
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    serde_json::from_str(&text).with_context(|| path.display().to_string())
+}
+
+/// The runs as tables; without one, a line that says so.
+pub fn table(fleet: Option<&Fleet>) -> String {
+    let reports = match fleet {
+        None => return "*The scale run's figures come here; none is given yet.*".to_owned(),
+        Some(Fleet::Several(reports)) => reports.as_slice(),
+        Some(Fleet::One(report)) => std::slice::from_ref(report.as_ref()),
+    };
+    reports.iter().map(run).collect::<Vec<_>>().join("\n")
+}
+
+fn run(report: &Report) -> String {
+    let Size { conductors, real, controls, servers } = report.fleet;
+    let mut text = format!(
+        "**{conductors} conductors**, {real} of them real, {controls} control members, {servers} servers; full start \
+         in force at the last hollow one after {} ms, at the last real one after {} ms; {} faults held against it\n\n",
+        rounded(report.start.hollow_ms),
+        rounded(report.start.real_ms),
+        report.verdict.named.len()
+    );
+    text += "| phase | changes | in force at the last, ms: p50, p99, most | at the last proxy | never | level after, ms |\n\
+             | --- | --- | --- | --- | --- | --- |\n";
+    for phase in &report.phases {
+        let spread = |spread: &Spread| {
+            format!("{}, {}, {}", rounded(spread.p50_ms), rounded(spread.p99_ms), rounded(spread.most_ms))
+        };
+        let level = phase.level_ms.map_or(String::new(), rounded);
+        let Travel { in_force, at_proxies, missing } = &phase.travel;
+        let (in_force, at_proxies) = (spread(in_force), spread(at_proxies));
+        let _ = writeln!(
+            text,
+            "| {} | {} | {in_force} | {at_proxies} | {missing} | {level} |",
+            phase.name, phase.changes
+        );
+    }
+    text += "\n| phase | role, each | CPU, % of a core | memory, MB | bytes/s with headers |\n| --- | --- | --- | --- | --- |\n";
+    for phase in &report.phases {
+        for (role, usage) in &phase.usage {
+            let RoleUsage { cpu_percent, resident_mb, bytes_per_s_with_headers } = usage;
+            let figures = [*cpu_percent, *resident_mb, *bytes_per_s_with_headers].map(rounded).join(" | ");
+            let _ = writeln!(text, "| {} | {} | {figures} |", phase.name, role.replace('_', " "));
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/stepspur-scale/src/capacity/roles.rs
@@ -0,0 +1,283 @@
+//! What each role holds and spends on an ordinary day.
+
+use stepspur_conductor::source::{NodeRecord, NodeState};
+
+use super::cell::Cell;
+use super::figures::Figures;
+use super::target::{Assumptions, DAY_S, USERS};
+use crate::hollow::servers::address_of;
+use crate::slopes::result::{Metric, Name};
+
+/// Servers behind the slope of proxies.
+const SERVERS_OF_PROXIES_SLOPE: f64 = 240.0;
+/// The decision module's probes: a part of the requests, each server once in a second at most and in eight at least.
+pub const PROBED_PART: f64 = 0.15;
+const PROBE_LONGEST_S: f64 = 8.0;
+/// A long poll of the list ends after this, as set by default.
+const LIST_POLL_S: f64 = 10.0;
+/// A side of a stream that sent nothing for so long pings, as set by default.
+const KEEP_ALIVE_S: f64 = 5.0;
+/// Changes of the list that a restart makes: draining, ready again.
+const ENTRIES_OF_RESTART: f64 = 2.0;
+/// Members of a council that the slope was measured up to.
+pub const COUNCIL_MEASURED: f64 = 23.0;
+
+/// A row of a table of roles.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The role, or what it does.
+    pub what: &'static str,
+    /// What it holds, in entries.
+    pub entries: Cell,
+    /// Messages a second, both ways.
+    pub messages: Cell,
+    /// Bytes a second, both ways, with headers.
+    pub bytes: Cell,
+    /// Percent of a core.
+    pub cpu: Cell,
+    /// MiB.
+    pub memory: Cell,
+    /// What carries it.
+    pub mechanism: &'static str,
+    /// How it was worked out.
+    pub formula: &'static str,
+}
+
+/// Probes a second of a conductor: 0.15 of its requests, between its servers once in 8 s and once a second.
+pub fn probes_per_s(servers: f64, requests_per_s: f64) -> f64 {
+    (PROBED_PART * requests_per_s).clamp(servers / PROBE_LONGEST_S, servers)
+}
+
+/// Bytes of a server in the HTTP list.
+pub fn entry_bytes() -> f64 {
+    let record = NodeRecord {
+        address: (address_of(12_345), 8_080).into(),
+        zone: "zone-42".into(),
+        state: NodeState::Ready,
+        weight: 1.5,
+        started_unix_ms: 1_764_000_000_000,
+    };
+    serde_json::to_string(&record).map_or(f64::NAN, |text| (text.len() + 1) as f64)
+}
+
+/// Changes of the list a second that concern a conductor, on an ordinary day.
+pub fn list_changes_per_s(servers: f64) -> f64 {
+    let of_fleet = USERS.restarts_per_day * ENTRIES_OF_RESTART + USERS.failures_per_day;
+    of_fleet / DAY_S * servers / USERS.servers
+}
+
+/// A conductor by what it does.
+pub fn conductor(figures: Figures, with: &Assumptions) -> Vec<Row> {
+    let Assumptions { proxies, servers, requests_per_s, .. } = *with;
+    let per_proxy = |metric| figures.more(Name::Proxies, metric).times(proxies);
+    let per_server = |metric| figures.more(Name::Servers, metric);
+    let itself = |metric| {
+        figures.base(Name::Proxies, metric).plus(per_server(metric).times(-SERVERS_OF_PROXIES_SLOPE))
+    };
+    let further = (requests_per_s - proxies).max(0.0);
+    let probes = probes_per_s(servers, requests_per_s);
+    let call = |metric| figures.more(Name::Probes, metric);
+    let per_call = |metric| call(metric).times(servers_per_probe(figures));
+    let calls = 1.0 / LIST_POLL_S + list_changes_per_s(servers);
+    let entries = Cell::counted(list_changes_per_s(servers) * entry_bytes());
+    let following = |metric| figures.at(Name::Members, metric, COUNCIL_MEASURED);
+    vec![
+        Row {
+            what: "itself, with nobody joined",
+            entries: Cell::counted(0.0),
+            messages: Cell::counted(0.0),
+            bytes: Cell::counted(0.0),
+            cpu: itself(Metric::CpuPercent),
+            memory: itself(Metric::ResidentMib),
+            mechanism: "`stepspur run`",
+            formula: "a(proxies) - 240 b(servers)",
+        },
+        Row {
+            what: "streams, tables, a report a second",
+            entries: Cell::counted(proxies),
+            messages: Cell::counted(proxies * (1.0 + 2.0 / KEEP_ALIVE_S)),
+            bytes: per_proxy(Metric::WireBytesPerS),
+            cpu: per_proxy(Metric::CpuPercent),
+            memory: per_proxy(Metric::ResidentMib),
+            mechanism: "streams of frames",
+            formula: "P b(proxies); messages P (1 + 2/5)",
+        },
+        Row {
+            what: "reports: requests told beyond one a proxy",
+            entries: Cell::counted(further),
+            messages: Cell::counted(0.0),
+            bytes: figures.more(Name::Reports, Metric::WireBytesPerS).times(further),
+            cpu: figures.more(Name::Reports, Metric::CpuPercent).times(further),
+            memory: figures.more(Name::Reports, Metric::ResidentMib).times(further),
+            mechanism: "reports, summed by server and zone",
+            formula: "(R - P) b(reports), a line a request",
+        },
+        Row {
+            what: "servers listed, in tables",
+            entries: Cell::counted(servers),
+            messages: Cell::counted(0.0),
+            bytes: Cell::counted(0.0),
+            cpu: per_server(Metric::CpuPercent).times(servers),
+            memory: per_server(Metric::ResidentMib).times(servers),
+            mechanism: "the engine's tables",
+            formula: "S b(servers)",
+        },
+        Row {
+            what: "probes",
+            entries: Cell::counted(servers),
+            messages: Cell::counted(2.0 * probes),
+            bytes: per_call(Metric::WireBytesPerS).times(probes),
+            cpu: per_call(Metric::CpuPercent).times(probes),
+            memory: Cell::NOT_KNOWN,
+            mechanism: "each conductor by itself, a connection a probe",
+            formula: "n = 0.15 R, at least S/8, at most S; n b(probes)",
+        },
+        Row {
+            what: "the list of servers",
+            entries: Cell::counted(servers),
+            messages: Cell::counted(2.0 * calls),
+            bytes: per_call(Metric::WireBytesPerS).times(calls).plus(entries),
+            cpu: per_call(Metric::CpuPercent).times(calls),
+            memory: Cell::counted(0.0),
+            mechanism: "a long poll of 10 s, a connection a call",
+            formula: "calls c = 1/10 + changes, (2 · 1,100 + 110) S/19,000 a day; c b(probes) + entries",
+        },
+        Row {
+            what: "configuration",
+            entries: Cell::counted(0.0),
+            messages: Cell::counted(0.0),
+            bytes: Cell::counted(0.0),
+            cpu: Cell::counted(0.0),
+            memory: Cell::counted(0.0),
+            mechanism: "none: a call to each conductor by hand, lost at its restart",
+            formula: "nothing is there to spend",
+        },
+        Row {
+            what: "council, following only",
+            entries: Cell::counted(COUNCIL_MEASURED),
+            messages: Cell::NOT_KNOWN,
+            bytes: following(Metric::FollowerWireBytesPerS),
+            cpu: following(Metric::FollowerCpuPercent),
+            memory: Cell::counted(0.0),
+            mechanism: "a member that fetches; 1,000 members at most",
+            formula: "the slope of members at 23, voters 3",
+        },
+    ]
+}
+
+/// The slope of probes counts servers; each was probed so often a second.
+fn servers_per_probe(figures: Figures) -> f64 {
+    let probed = figures.more(Name::Probes, Metric::ProbesPerS).mean();
+    probed.filter(|each| *each > 0.0).map_or(f64::NAN, |each| 1.0 / each)
+}
+
+/// Rows of [`conductor`] that are control, probes apart.
+pub const CONTROL: [&str; 3] = ["the list of servers", "configuration", "council, following only"];
+/// The row of probes.
+pub const PROBES: &str = "probes";
+
+/// The sum of some rows.
+pub fn sum(rows: &[Row], of: impl Fn(&Row) -> bool, cell: impl Fn(&Row) -> Cell) -> Cell {
+    rows.iter().filter(|row| of(row)).map(cell).fold(Cell::counted(0.0), Cell::plus)
+}
+
+/// The sum of some rows as far as they are known; not known where none is.
+pub fn sum_known(rows: &[Row], of: &dyn Fn(&Row) -> bool, cell: fn(&Row) -> Cell) -> Cell {
+    let known = |row: &Row| of(row) && cell(row).mean().is_some();
+    if rows.iter().any(known) { sum(rows, known, cell) } else { Cell::NOT_KNOWN }
+}
+
+/// All other roles.
+pub fn others(figures: Figures, with: &Assumptions) -> Vec<Row> {
+    let leader = |metric| figures.at(Name::Members, metric, USERS.machines);
+    let in_burst = |metric| figures.at(Name::Entries, metric, with.burst_per_s);
+    let probers = USERS.conductors * with.servers / USERS.servers;
+    let probed = probers * probes_per_s(with.servers, with.requests_per_s) / with.servers;
+    let per_probe = |metric| figures.more(Name::Probes, metric).times(servers_per_probe(figures));
+    let calls = USERS.conductors * (1.0 / LIST_POLL_S + list_changes_per_s(with.servers));
+    let told = USERS.conductors * list_changes_per_s(with.servers) * entry_bytes();
+    let choose = figures.at(Name::Choose, Metric::ChooseUs, 40.0);
+    let rate = USERS.requests_per_conductor() / with.proxies;
+    vec![
+        Row {
+            what: "voter",
+            entries: Cell::NOT_KNOWN,
+            messages: Cell::NOT_KNOWN,
+            bytes: leader(Metric::VoterWireBytesPerS),
+            cpu: leader(Metric::VoterCpuPercent),
+            memory: leader(Metric::LeaderResidentMib),
+            mechanism: "`[council]`",
+            formula: "the slope of members at 15; idle",
+        },
+        Row {
+            what: "leader, idle",
+            entries: Cell::NOT_KNOWN,
+            messages: Cell::NOT_KNOWN,
+            bytes: leader(Metric::LeaderWireBytesPerS),
+            cpu: leader(Metric::LeaderCpuPercent),
+            memory: leader(Metric::LeaderResidentMib),
+            mechanism: "`[council]`",
+            formula: "the slope of members at 15",
+        },
+        Row {
+            what: "leader, in the burst of changes",
+            entries: Cell::counted(with.burst_per_s * with.burst_s),
+            messages: Cell::NOT_KNOWN,
+            bytes: in_burst(Metric::LeaderWireBytesPerS),
+            cpu: in_burst(Metric::LeaderCpuPercent),
+            memory: in_burst(Metric::LeaderResidentMib),
+            mechanism: "`[council]`; no configuration is in its log",
+            formula: "the slope of entries at 10 a second, 200 bytes each, 3 voters and 2 that follow",
+        },
+        Row {
+            what: "control machine that only follows",
+            entries: Cell::NOT_KNOWN,
+            messages: Cell::NOT_KNOWN,
+            bytes: leader(Metric::FollowerWireBytesPerS),
+            cpu: leader(Metric::FollowerCpuPercent),
+            memory: leader(Metric::FollowerResidentMib),
+            mechanism: "a member that fetches; it serves nobody",
+            formula: "the slope of members at 15; nothing to serve",
+        },
+        Row {
+            what: "list source",
+            entries: Cell::counted(USERS.servers),
+            messages: Cell::counted(2.0 * calls),
+            bytes: per_probe(Metric::WireBytesPerS).times(calls).plus(Cell::counted(told)),
+            cpu: Cell::NOT_KNOWN,
+            memory: Cell::NOT_KNOWN,
+            mechanism: "the users' own; one call a conductor and 10 s, and one a change",
+            formula: "2,400 times the list's row of a conductor",
+        },
+        Row {
+            what: "operators' endpoint, all of them",
+            entries: Cell::counted(0.0),
+            messages: Cell::counted(2.0 * USERS.conductors * USERS.changes_per_s()),
+            bytes: Cell::NOT_KNOWN,
+            cpu: Cell::NOT_KNOWN,
+            memory: Cell::NOT_KNOWN,
+            mechanism: "none: a change for all is 2,400 calls",
+            formula: "2 · 2,400 · 3,000/86,400; in the burst 2 · 2,400 · 10",
+        },
+        Row {
+            what: "server, as far as probes load it",
+            entries: Cell::counted(probers),
+            messages: Cell::counted(2.0 * probed),
+            bytes: per_probe(Metric::WireBytesPerS).times(probed),
+            cpu: Cell::NOT_KNOWN,
+            memory: Cell::NOT_KNOWN,
+            mechanism: "none that shares: every conductor that lists it probes it",
+            formula: "K = 2,400 S/19,000 conductors list it; K n/S probes a second",
+        },
+        Row {
+            what: "proxy, to choose",
+            entries: Cell::counted(with.servers),
+            messages: Cell::counted(1.0 + 2.0 / KEEP_ALIVE_S),
+            bytes: figures.more(Name::Proxies, Metric::WireBytesPerS),
+            cpu: choose.times(rate / 1e6 * 100.0),
+            memory: Cell::NOT_KNOWN,
+            mechanism: "its table; no request passes a conductor",
+            formula: "R/P requests a second, each the time to choose among 40 lines; bytes b(proxies)",
+        },
+    ]
+}
--- /dev/null
+++ b/crates/stepspur-scale/src/capacity/tests.rs
@@ -0,0 +1,223 @@
+use std::collections::BTreeMap;
+
+use super::cell::{Basis, Cell};
+use super::figures::Figures;
+use super::missing::{Missing, Standing, ordered};
+use super::roles::{self, list_changes_per_s, probes_per_s};
+use super::target::{Assumptions, USERS};
+use super::*;
+use crate::fit::Estimate;
+use crate::slopes::result::{Metric, Name, Run, Slope};
+
+const SLOPES: &str = include_str!("../../../../docs/capacity/slopes.json");
+const PAGE: &str = include_str!("../../../../docs/CAPACITY.md");
+/// The scale run's file stands beside the slopes once it was run.
+const FLEET: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/capacity/fleet.json");
+
+/// A slope whose metrics are lines `a + b·x`, three repeats alike.
+fn slope(name: Name, sizes: &[f64], lines: &[(Metric, f64, f64)]) -> Slope {
+    let run = |repeat, x: f64| Run {
+        x,
+        repeat,
+        load_average: 1.0,
+        values: lines.iter().map(|(metric, a, b)| (*metric, a + b * x)).collect(),
+    };
+    let runs = (0..3).flat_map(|repeat| sizes.iter().map(move |x| run(repeat, *x))).collect();
+    Slope::new(name, runs, Vec::new())
+}
+
+/// Slopes with figures that can be reckoned in the head.
+fn small() -> Slopes {
+    use Metric::*;
+    let slopes = vec![
+        slope(
+            Name::Servers,
+            &[20.0, 240.0, 2_400.0, 19_000.0],
+            &[(CpuPercent, 5.0, 0.001), (ResidentMib, 10.0, 0.002), (DrainCpuMs, 3.0, 0.003)],
+        ),
+        slope(
+            Name::Proxies,
+            &[50.0, 200.0, 800.0, 2_400.0],
+            &[
+                (CpuPercent, 1.24, 0.01),
+                (ResidentMib, 8.48, 0.02),
+                (WireBytesPerS, 100.0, 150.0),
+                (StartCpuS, 0.01, 0.001),
+                (StartS, 0.02, 0.001),
+            ],
+        ),
+        slope(
+            Name::Reports,
+            &[100.0, 1_000.0, 4_000.0, 10_000.0],
+            &[(CpuPercent, 1.0, 0.002), (ResidentMib, 9.0, 0.0), (WireBytesPerS, 100.0, 30.0)],
+        ),
+        slope(
+            Name::Probes,
+            &[20.0, 60.0, 120.0, 240.0],
+            &[(CpuPercent, 0.1, 0.02), (WireBytesPerS, 0.0, 600.0), (ProbesPerS, 0.0, 1.0)],
+        ),
+        slope(
+            Name::Members,
+            &[3.0, 8.0, 13.0, 23.0],
+            &[
+                (FollowerCpuPercent, 2.0, 0.0),
+                (FollowerWireBytesPerS, 2_000.0, 0.0),
+                (LeaderCpuPercent, 0.5, 0.01),
+            ],
+        ),
+        slope(Name::Entries, &[0.0, 1.0, 10.0, 50.0], &[(LeaderCpuPercent, 0.5, 0.1)]),
+        slope(Name::Choose, &[8.0, 40.0, 200.0, 1_000.0], &[(ChooseUs, 0.1, 0.01), (ChooseP99Us, 1.0, 0.02)]),
+    ];
+    Slopes { cores: 8, program: "stepspur 0.1.0".into(), seed: 1, quick: false, slopes }
+}
+
+fn row<'a>(rows: &'a [roles::Row], what: &str) -> &'a roles::Row {
+    rows.iter().find(|row| row.what == what).unwrap_or_else(|| panic!("no row {what}"))
+}
+
+fn near(cell: Cell, wanted: f64) {
+    let mean = cell.mean().unwrap_or(f64::NAN);
+    assert!((mean - wanted).abs() < 1e-6 * wanted.abs().max(1.0), "{mean} in place of {wanted}");
+}
+
+#[test]
+fn the_committed_page_is_what_its_slopes_give() {
+    let slopes: Slopes = serde_json::from_str(SLOPES).unwrap();
+    let fleet = std::path::Path::new(FLEET);
+    let fleet = fleet.exists().then(|| fleet::read(fleet).unwrap());
+    let written = write(PAGE, &slopes, fleet.as_ref()).unwrap();
+    let other = written.lines().zip(PAGE.lines()).find(|(one, other)| one != other);
+    assert_eq!(other, None, "the page is not what its slopes give: write it anew as it says");
+    assert_eq!(written.len(), PAGE.len(), "the page is not what its slopes give: write it anew as it says");
+}
+
+#[test]
+fn the_committed_fits_are_those_of_the_committed_runs() {
+    let slopes: Slopes = serde_json::from_str(SLOPES).unwrap();
+    for slope in slopes.slopes {
+        let again = Slope::new(slope.name, slope.runs.clone(), slope.notes.clone());
+        for (metric, fit) in &slope.fits {
+            let other = again.fits[metric];
+            let close = |a: Estimate, b: Estimate| (a.mean - b.mean).abs() <= 1e-9 * a.mean.abs().max(1.0);
+            assert!(close(fit.slope, other.slope) && close(fit.intercept, other.intercept), "{metric:?}");
+        }
+        assert_eq!(again.fits.len(), slope.fits.len());
+    }
+}
+
+#[test]
+fn a_conductor_is_the_sum_of_its_slopes() {
+    let slopes = small();
+    let with = Assumptions { proxies: 50.0, requests_per_s: 250.0, ..Assumptions::taken(240.0) };
+    let rows = roles::conductor(Figures(&slopes), &with);
+    near(row(&rows, "itself, with nobody joined").cpu, 1.24 - 0.24);
+    near(row(&rows, "itself, with nobody joined").memory, 8.48 - 0.48);
+    near(row(&rows, "streams, tables, a report a second").bytes, 50.0 * 150.0);
+    near(row(&rows, "streams, tables, a report a second").messages, 50.0 * 1.4);
+    near(row(&rows, "reports: requests told beyond one a proxy").bytes, 200.0 * 30.0);
+    near(row(&rows, "servers listed, in tables").memory, 0.48);
+    // 0.15 of 250 requests a second.
+    near(row(&rows, "probes").bytes, 37.5 * 600.0);
+    near(row(&rows, "probes").cpu, 37.5 * 0.02);
+    near(row(&rows, "council, following only").bytes, 2_000.0);
+    let control = |row: &roles::Row| roles::CONTROL.contains(&row.what);
+    let calls = 0.1 + list_changes_per_s(240.0);
+    let list = calls * 600.0 + list_changes_per_s(240.0) * roles::entry_bytes();
+    near(roles::sum(&rows, control, |row| row.bytes), list + 2_000.0);
+}
+
+#[test]
+fn probes_follow_requests_between_their_bounds() {
+    assert_eq!(probes_per_s(20.0, 296.0), 20.0);
+    assert!((probes_per_s(240.0, 296.0) - 44.4).abs() < 1e-9);
+    assert_eq!(probes_per_s(19_000.0, 296.0), 2_375.0);
+}
+
+#[test]
+fn the_day_at_the_users_size() {
+    // 1,100 restarts of two entries and 110 failures, over all servers.
+    assert!((list_changes_per_s(USERS.servers) * 86_400.0 - 2_310.0).abs() < 1e-6);
+    assert!((USERS.requests_per_conductor() - 295.833_333).abs() < 1e-3);
+    assert!((1.0 / USERS.changes_per_s() - 28.8).abs() < 1e-9);
+    assert!((Assumptions::taken(240.0).largest_tenant() - 0.0827).abs() < 1e-3);
+}
+
+#[test]
+fn a_lost_rack_costs_a_third_of_a_drain_for_each_server() {
+    let slopes = small();
+    let days = days::days(Figures(&slopes), &Assumptions::taken(240.0));
+    near(days[0].figure, (3.0 + 0.72) / 3.0);
+    near(days[1].figure, 24.0 * (3.0 + 0.72) / 3.0);
+}
+
+#[test]
+fn what_is_not_carried_comes_before_what_is_over_and_that_by_how_far() {
+    let one = |line: &str, standing| Missing {
+        line: line.into(),
+        standing,
+        found: String::new(),
+        mechanism: "",
+        cost: String::new(),
+    };
+    let all = vec![
+        one("a", Standing::Over(2.0)),
+        one("b", Standing::Over(0.9)),
+        one("c", Standing::NotCarried),
+        one("d", Standing::Over(30.0)),
+        one("e", Standing::NotCarried),
+        one("f", Standing::Over(f64::NAN)),
+    ];
+    let lines: Vec<String> = ordered(all).into_iter().map(|one| one.line).collect();
+    assert_eq!(lines, ["c", "e", "d", "a"]);
+}
+
+#[test]
+fn a_figure_says_where_it_comes_from() {
+    let slopes = small();
+    let figures = Figures(&slopes);
+    assert_eq!(figures.at(Name::Servers, Metric::CpuPercent, 240.0).basis, Basis::Measured);
+    assert_eq!(figures.at(Name::Servers, Metric::CpuPercent, 241.0).basis, Basis::Derived);
+    let none = figures.at(Name::Tenants, Metric::CpuPercent, 1.0);
+    assert_eq!((none.basis, none.text()), (Basis::NotKnown, "not known".to_owned()));
+    assert_eq!(none.plus(Cell::counted(1.0)), Cell::NOT_KNOWN);
+    let spread = Estimate { mean: 12.0, half_width: Some(0.5) };
+    assert_eq!(Cell::measured(spread).text(), "12.0 ± 0.500 m");
+    assert_eq!(Cell::counted(12.0).text(), "12.0 d");
+}
+
+#[test]
+fn a_told_figure_is_confirmed_within_a_tenth_and_its_interval() {
+    let told = |mean, half| letter::Told {
+        what: "",
+        told: (10.0, 20.0),
+        found: Cell::measured(Estimate { mean, half_width: Some(half) }),
+        by_wall_clock: false,
+    };
+    let verdicts: Vec<_> = [(9.1, 0.0), (8.0, 0.5), (8.0, 1.5), (21.9, 0.0), (23.0, 0.5)]
+        .map(|(mean, half)| told(mean, half).verdict())
+        .into_iter()
+        .collect();
+    assert_eq!(verdicts, ["confirmed", "corrected", "confirmed", "confirmed", "corrected"]);
+}
+
+#[test]
+fn only_what_stands_between_markers_changes() {
+    let page = "a\n<!-- x: begin -->\nold\n<!-- x: end -->\nb\n";
+    assert_eq!(between(page, "x", "new\n").unwrap(), "a\n<!-- x: begin -->\nnew\n<!-- x: end -->\nb\n");
+    let missing = between(page, "y", "new").unwrap_err().to_string();
+    assert!(missing.contains("<!-- y: begin -->"), "{missing}");
+    let unended = between("<!-- x: begin -->", "x", "new").unwrap_err().to_string();
+    assert!(unended.contains("<!-- x: end -->"), "{unended}");
+}
+
+#[test]
+fn slopes_come_back_from_their_json() {
+    let slopes = small();
+    let text = serde_json::to_string(&slopes).unwrap();
+    let again: Slopes = serde_json::from_str(&text).unwrap();
+    let metrics = |slopes: &Slopes| -> BTreeMap<Name, Vec<Metric>> {
+        slopes.slopes.iter().map(|slope| (slope.name, slope.metrics())).collect()
+    };
+    assert_eq!(metrics(&again), metrics(&slopes));
+    assert!(serde_json::from_str::<Slopes>(r#"{"cores": 8}"#).is_err());
+}
--- a/crates/stepspur-scale/src/main.rs
+++ b/crates/stepspur-scale/src/main.rs
@@ -2,7 +2,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod capacity;
+mod fit;
+mod hollow;
+mod program;
 mod slopes;
+mod traffic;
 mod usage;
 
 use clap::{Parser, Subcommand};
@@ -19,11 +24,18 @@
 enum Command {
     /// What one more server, proxy, report, probe, tenant, council member or entry costs.
     Slopes(slopes::SlopesArgs),
+    /// Writes the tables of docs/CAPACITY.md from measured slopes.
+    Capacity(capacity::CapacityArgs),
+    /// A council's member without a conductor; started by `slopes`.
+    #[command(hide = true)]
+    Member(slopes::member::MemberArgs),
 }
 
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     match Arguments::parse().command {
         Command::Slopes(args) => slopes::run(args).await,
+        Command::Capacity(args) => capacity::run(args),
+        Command::Member(args) => slopes::member::run(args).await,
     }
 }
--- a/crates/stepspur-scale/src/slopes/mod.rs
+++ b/crates/stepspur-scale/src/slopes/mod.rs
@@ -1,29 +1,203 @@
 //! `stepspur-scale slopes`: what one more of each thing costs the real program.
+//!
+//! Each slope has four sizes or more, each measured three times; a round takes all sizes once, so that what changes
+//! on the machine meanwhile does not fall on one size alone.
 
-use std::path::PathBuf;
+mod choose;
+pub mod conductor;
+mod council;
+pub mod member;
+pub mod result;
+mod table;
+mod tenants;
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::timeout;
+
+use crate::{program, usage};
+use conductor::Setup;
+use result::{Name, Run, Slope, Slopes, Values};
+pub use table::{rounded, shown};
 
 /// What is measured.
 #[derive(Debug, clap::Args)]
 pub struct SlopesArgs {
-    /// Fewer sizes and one repeat.
+    /// The smaller sizes, one repeat, short windows.
     #[arg(long)]
     quick: bool,
     /// Where random draws start.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Write the result as JSON to this file.
+    /// Write the result as JSON to this file; with `--only`, slopes of the file that are not measured stay in it.
     #[arg(long)]
     json: Option<PathBuf>,
     /// Only these slopes; may be given several times.
-    #[arg(long)]
-    only: Vec<String>,
+    #[arg(long, value_enum)]
+    only: Vec<Name>,
+}
+
+/// All slopes in the order of their running.
+const ALL: [Name; 8] = [
+    Name::Choose,
+    Name::Servers,
+    Name::Proxies,
+    Name::Reports,
+    Name::Probes,
+    Name::Members,
+    Name::Entries,
+    Name::Tenants,
+];
+const REPEATS: usize = 3;
+/// A conductor or council is watched for so long.
+const WINDOW: Duration = Duration::from_secs(3);
+const QUICK_WINDOW: Duration = Duration::from_millis(500);
+/// One repeat of one size ends after this, whatever becomes of it.
+const LONGEST_RUN: Duration = Duration::from_secs(90);
+/// Members beside the voters while entries are agreed on.
+const ENTRIES_FOLLOWERS: usize = 2;
+
+/// The sizes of a slope, rising.
+fn sizes(name: Name) -> &'static [usize] {
+    match name {
+        Name::Servers => &[20, 240, 2_400, 19_000],
+        Name::Proxies => &[50, 200, 800, 2_400],
+        Name::Reports => &[100, 1_000, 4_000, 10_000],
+        Name::Probes => &[20, 60, 120, 240],
+        Name::Members => &[3, 8, 13, 23],
+        Name::Entries => &[0, 1, 10, 50],
+        Name::Tenants => &[1, 10, 100, 1_000, 10_000, 99_000],
+        Name::Choose => &[8, 40, 200, 1_000],
+    }
 }
 
-/// Runs the slopes.
+/// Runs the slopes, prints them, and writes them.
 ///
 /// # Errors
-/// If the program is not built or a run fails.
+/// If the program is not built, a run of a slope other than tenants fails, or the result cannot be written.
 pub async fn run(args: SlopesArgs) -> anyhow::Result<()> {
-    let SlopesArgs { quick, seed, json, only } = args;
-    anyhow::bail!("not there yet: quick {quick}, seed {seed}, JSON {json:?}, only {only:?}");
+    let (mut interrupt, mut terminate) = (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
+    // Whatever was started ends with the measuring that is dropped.
+    tokio::select! {
+        done = measure_all(&args) => done,
+        _ = interrupt.recv() => anyhow::bail!("interrupted"),
+        _ = terminate.recv() => anyhow::bail!("terminated"),
+    }
+}
+
+async fn measure_all(args: &SlopesArgs) -> anyhow::Result<()> {
+    let program = program::stepspur()?;
+    let mut slopes = empty(args, &program)?;
+    let names: Vec<Name> =
+        ALL.into_iter().filter(|name| args.only.is_empty() || args.only.contains(name)).collect();
+    for name in names {
+        let slope = measure_slope(args, &program, name).await?;
+        table::print(&slope);
+        slopes.slopes.retain(|other| other.name != name);
+        slopes.slopes.push(slope);
+        slopes.slopes.sort_by_key(|slope| slope.name);
+        if let Some(path) = &args.json {
+            let text = serde_json::to_string_pretty(&slopes)?;
+            std::fs::write(path, text + "\n").with_context(|| path.display().to_string())?;
+        }
+    }
+    Ok(())
+}
+
+/// No slopes yet, or those of the file that is added to.
+fn empty(args: &SlopesArgs, program: &Path) -> anyhow::Result<Slopes> {
+    let kept = match &args.json {
+        Some(path) if !args.only.is_empty() && path.exists() => read(path)?.slopes,
+        _ => Vec::new(),
+    };
+    let version = std::process::Command::new(program).arg("--version").output()?;
+    Ok(Slopes {
+        cores: std::thread::available_parallelism()?.get(),
+        program: String::from_utf8_lossy(&version.stdout).trim().to_owned(),
+        seed: args.seed,
+        quick: args.quick,
+        slopes: kept,
+    })
+}
+
+/// Reads slopes that were written before.
+///
+/// # Errors
+/// If there is no such file, or it holds none.
+pub fn read(path: &Path) -> anyhow::Result<Slopes> {
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    serde_json::from_str(&text).with_context(|| path.display().to_string())
+}
+
+async fn measure_slope(args: &SlopesArgs, program: &Path, name: Name) -> anyhow::Result<Slope> {
+    let all = sizes(name);
+    let (mut sizes, repeats) =
+        if args.quick { (all[..all.len().min(3)].to_vec(), 1) } else { (all.to_vec(), REPEATS) };
+    let (mut runs, mut notes) = (Vec::new(), Vec::new());
+    for repeat in 0..repeats {
+        for size in sizes.clone() {
+            let measured = timeout(LONGEST_RUN, measure(args, program, name, size, repeat)).await;
+            let measured = measured.context("it took too long").and_then(|measured| measured);
+            let at = || format!("{} {}", name.counts(), size);
+            match measured {
+                Ok(values) => {
+                    let load_average = usage::load_average()?;
+                    eprintln!("{}, repeat {repeat}, load {load_average:.1}", at());
+                    runs.push(Run { x: size as f64, repeat, load_average, values });
+                }
+                // How far tenants go is itself what is measured.
+                Err(cause) if name == Name::Tenants => {
+                    notes.push(format!("{}: {cause:#}", at()));
+                    sizes.retain(|other| *other < size);
+                    break;
+                }
+                Err(cause) => return Err(cause.context(at())),
+            }
+        }
+    }
+    Ok(Slope::new(name, runs, notes))
+}
+
+async fn measure(
+    args: &SlopesArgs,
+    program: &Path,
+    name: Name,
+    size: usize,
+    repeat: usize,
+) -> anyhow::Result<Values> {
+    let seed = args.seed + repeat as u64;
+    let window = if args.quick { QUICK_WINDOW } else { WINDOW };
+    let program = program.to_path_buf();
+    let setup = Setup {
+        servers: 240,
+        proxies: 50,
+        requests_per_proxy: 1,
+        probing: false,
+        events: false,
+        window,
+        seed,
+    };
+    match name {
+        Name::Servers => {
+            conductor::measure(program, Setup { servers: size, proxies: 300, events: true, ..setup }).await
+        }
+        Name::Proxies => conductor::measure(program, Setup { proxies: size, events: true, ..setup }).await,
+        Name::Reports => {
+            let requests_per_proxy = size / setup.proxies;
+            conductor::measure(program, Setup { servers: 2_400, requests_per_proxy, ..setup }).await
+        }
+        Name::Probes => {
+            let setup = Setup { servers: size, proxies: 0, probing: true, ..setup };
+            conductor::measure(program, setup).await
+        }
+        Name::Members => council::measure_members(program, size, window).await,
+        Name::Entries => {
+            council::measure_entries(council::VOTERS + ENTRIES_FOLLOWERS, size as u32, window).await
+        }
+        Name::Tenants => tenants::measure(program, size, window).await,
+        Name::Choose => choose::measure(size, seed),
+    }
 }
--- a/crates/stepspur-scale/src/usage.rs
+++ b/crates/stepspur-scale/src/usage.rs
@@ -39,3 +39,43 @@
         descriptors,
     })
 }
+
+/// Processor time of all living threads of a process, in nanoseconds' steps: finer than [`Usage::cpu`].
+///
+/// # Errors
+/// The kernel's, if there is no such process or it keeps no such statistics.
+pub fn thread_time(pid: u32) -> io::Result<Duration> {
+    let nanos = sum_of_threads(pid, "schedstat", |text| text.split_whitespace().next()?.parse().ok())?;
+    Ok(Duration::from_nanos(nanos))
+}
+
+/// How often the living threads of a process have gone to sleep, and so have been woken.
+///
+/// # Errors
+/// As [`thread_time`].
+pub fn wakes(pid: u32) -> io::Result<u64> {
+    sum_of_threads(pid, "status", |text| {
+        let count = text.lines().find_map(|line| line.strip_prefix("voluntary_ctxt_switches:"))?;
+        count.trim().parse().ok()
+    })
+}
+
+fn sum_of_threads(pid: u32, file: &str, read: impl Fn(&str) -> Option<u64>) -> io::Result<u64> {
+    let mut sum = 0;
+    for thread in std::fs::read_dir(format!("/proc/{pid}/task"))? {
+        // A thread may end between the listing and the reading.
+        let Ok(text) = std::fs::read_to_string(thread?.path().join(file)) else { continue };
+        sum += read(&text).ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))?;
+    }
+    Ok(sum)
+}
+
+/// The machine's load average of the last minute: runnable threads.
+///
+/// # Errors
+/// The kernel's; [`io::ErrorKind::InvalidData`] if its file has another form.
+pub fn load_average() -> io::Result<f64> {
+    let text = std::fs::read_to_string("/proc/loadavg")?;
+    let first = text.split_whitespace().next().and_then(|load| load.parse().ok());
+    first.ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
+}
