--- a/crates/stepspur-scale/src/capacity/roles.rs
+++ b/crates/stepspur-scale/src/capacity/roles.rs
@@ -227,7 +227,7 @@
             cpu: in_burst(Metric::LeaderCpuPercent),
             memory: in_burst(Metric::LeaderResidentMib),
             mechanism: "`[council]`; no configuration is in its log",
-            formula: "the slope of entries at 10 a second, 200 bytes each, 3 voters and 2 that follow",
+            formula: "the slope of entries at 10 a second, 130 bytes each, 3 voters and 2 that follow",
         },
         Row {
             what: "control machine that only follows",
--- a/crates/stepspur-scale/src/slopes/council.rs
+++ b/crates/stepspur-scale/src/slopes/council.rs
@@ -28,6 +28,8 @@
 const SETTLE: Duration = Duration::from_millis(1_500);
 /// Between two questions to a member.
 const ASK_EVERY: Duration = Duration::from_millis(50);
+/// A line that waits in a pipe is read in this time; members write one every 100 ms.
+const LINE_WITHIN: Duration = Duration::from_millis(20);
 const LARGEST_STATUS: usize = 1 << 20;
 
 /// The part of `GET /v1/council` that is looked at.
@@ -212,13 +214,9 @@
     let mut values = Values::from([(Metric::StartS, from.elapsed().as_secs_f64())]);
     sleep(SETTLE).await;
     let pids: Vec<u32> = running.iter().map(|member| member.pid).collect();
-    let (first, at) = (next(&mut running[leader]).await?, Instant::now());
+    let (first, at) = (newest(&mut running[leader]).await?, Instant::now());
     watch(&pids, leader, window, &mut values).await?;
-    // Lines wait in the pipe: the newest of them is wanted.
-    let mut last = next(&mut running[leader]).await?;
-    while let Ok(newer) = timeout(Duration::from_millis(20), next(&mut running[leader])).await {
-        last = newer?;
-    }
+    let last = newest(&mut running[leader]).await?;
     let agreed = last.applied.saturating_sub(first.applied);
     values.insert(Metric::AgreedPerS, agreed as f64 / at.elapsed().as_secs_f64());
     for mut member in running {
@@ -227,6 +225,15 @@
     Ok(values)
 }
 
+/// The newest line: older ones wait in the pipe.
+async fn newest(member: &mut Member) -> anyhow::Result<MemberLine> {
+    let mut last = next(member).await?;
+    while let Ok(newer) = timeout(LINE_WITHIN, next(member)).await {
+        last = newer?;
+    }
+    Ok(last)
+}
+
 async fn next(member: &mut Member) -> anyhow::Result<MemberLine> {
     let line = timeout(PATIENCE, member.lines.next_line()).await.context("a member says nothing")??;
     Ok(serde_json::from_str(&line.context("a member has ended")?)?)
--- a/crates/stepspur-scale/src/slopes/member.rs
+++ b/crates/stepspur-scale/src/slopes/member.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use bytes::Bytes;
+use stepspur_council::{Command, DutyName};
 use stepspur_peers::{Council, Peers};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
@@ -14,8 +14,8 @@
 const LIFE: Duration = Duration::from_secs(120);
 /// Between two lines of output.
 const TELL_EVERY: Duration = Duration::from_millis(100);
-/// Bytes of a command: a change of configuration has about as many.
-const COMMAND: [u8; 200] = [7; 200];
+/// The longest name of a duty: dropping one that is not there is an entry like any other, and changes nothing.
+const DUTY_BYTES: usize = 128;
 
 /// A member's settings and duty.
 #[derive(Debug, clap::Args)]
@@ -65,13 +65,14 @@
     if per_s == 0 {
         return Ok(());
     }
+    let command = Command::Drop { duty: DutyName::new(&"x".repeat(DUTY_BYTES))? };
     let mut turns = interval(Duration::from_secs(1) / per_s);
     turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         turns.tick().await;
         let leads = peers.status().await?.leader == Some(peers.id());
         if leads {
-            peers.command(Bytes::from_static(&COMMAND)).await?;
+            peers.order(command.clone()).await?;
         }
     }
 }
