--- a/crates/stepspur-distribution/src/subscriber/candidates.rs
+++ b/crates/stepspur-distribution/src/subscriber/candidates.rs
@@ -86,6 +86,11 @@
         self.insists = false;
     }
 
+    /// True: it comes first in the order.
+    pub(crate) fn is_first(&self, address: SocketAddr) -> bool {
+        self.order.first() == Some(&address)
+    }
+
     /// Takes the members that a control member names, in place of those known before. What cannot be read of it is left
     /// out; of nothing that can be read nothing changes. The configured addresses always stay, behind them.
     pub(crate) fn learn(&mut self, members: Vec<v1::ControlAddress>) {
--- a/crates/stepspur-distribution/src/subscriber/connection.rs
+++ b/crates/stepspur-distribution/src/subscriber/connection.rs
@@ -43,6 +43,8 @@
     Redirected(String),
     #[error("{0}")]
     Refused(String),
+    #[error("another control member comes first in the order")]
+    Moves,
     #[error("stopped")]
     Stopped,
 }
--- a/crates/stepspur-distribution/src/subscriber/link.rs
+++ b/crates/stepspur-distribution/src/subscriber/link.rs
@@ -44,6 +44,8 @@
     jitter: ChaCha8Rng,
     backoff: Duration,
     attachments: u64,
+    /// True: it was at its place in the order once, or knows that it is not to be had.
+    placed: bool,
 }
 
 impl Link {
@@ -66,6 +68,7 @@
             jitter,
             backoff: BACKOFF_FIRST,
             attachments: 0,
+            placed: false,
         }
     }
 
@@ -92,8 +95,10 @@
                 Ok((connection, welcome)) => self.serve(address, connection, welcome).await,
                 Err(ended) => ended,
             };
-            if matches!(ended, Ended::Stopped) {
-                return;
+            match ended {
+                Ended::Stopped => return,
+                Ended::Moves => continue,
+                _ => {}
             }
             self.lost(address, &ended, began, insists);
             let wait = self.jitter.random_range(Duration::ZERO..=self.backoff);
@@ -153,6 +158,10 @@
         self.candidates.learn(welcome.members);
         self.candidates.attached();
         self.board.heard();
+        // Settings name control members without their regions: the first one that answers tells who is near.
+        if !std::mem::replace(&mut self.placed, true) && !self.candidates.is_first(address) {
+            return Ended::Moves;
+        }
         self.board.attached(address, self.attachments);
         self.attachments += 1;
         tracing::info!(event = "control_member_attached", name = self.settings.name, %address);
--- a/crates/stepspur-distribution/tests/subscriber.rs
+++ b/crates/stepspur-distribution/tests/subscriber.rs
@@ -298,18 +298,38 @@
     assert_eq!(rig.status(|status| status.control.is_some()).await.control, Some(address(2)));
 }
 
+/// A welcome that names control members with their regions.
+fn welcome(members: &[(u16, &str)]) -> from_control::Kind {
+    let member = |(port, region): &(u16, &str)| v1::ControlAddress {
+        id: u64::from(*port),
+        address: address(*port).to_string(),
+        region: (*region).to_owned(),
+    };
+    let members = members.iter().map(member).collect();
+    from_control::Kind::Welcome(v1::ConfigWelcome { members, head: None, keep_alive_us: 5_000_000 })
+}
+
 #[tokio::test(start_paused = true)]
-async fn members_that_are_learned_are_dialled_when_the_configured_one_is_gone() {
+async fn a_newcomer_moves_to_a_near_member_once_it_has_learned_of_it() {
     let pipes = Pipes::default();
-    let (mut first, mut second) = (pipes.door(1), pipes.door(2));
+    let (mut far, mut near) = (pipes.door(1), pipes.door(2));
     let rig = Rig::start(&pipes, &[1]).await;
-    let mut call = first.call().await;
-    let welcome = v1::ConfigWelcome { members: members(&[2]), head: None, keep_alive_us: 5_000_000 };
-    call.send(from_control::Kind::Welcome(welcome)).await;
+    let members = [(1, "south"), (2, "north")];
+    let mut call = far.call().await;
+    call.send(welcome(&members)).await;
+    call.ended().await;
+    let mut call = near.call().await;
+    assert!(!call.subscribe.insists);
+    call.send(welcome(&members)).await;
+    let status = rig.status(|status| status.control == Some(address(2))).await;
+    assert_eq!(status.reconnects, 0);
+    // Later it stays where it is.
+    drop((call, near));
+    let mut call = far.call().await;
+    call.send(welcome(&members)).await;
     rig.status(|status| status.control == Some(address(1))).await;
-    drop((call, first));
-    let _call = second.welcome().await;
-    assert_eq!(rig.status(|status| status.control.is_some()).await.control, Some(address(2)));
+    call.delta(0, 3, &[document(1, 3, Some(5))]).await;
+    assert_eq!(call.acknowledged().await.1, version(3));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/stepspur-stories/src/lib.rs
+++ b/crates/stepspur-stories/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 mod disk;
+pub mod distribution;
 mod fleet;
 mod history;
 mod net;
