Count a probe's outcome for the server it was sent to, by number, address and start

Cause: a probe under way was known by its server's address alone (`Input::Probed { server: SocketAddr }`, `Output::Probe { server: SocketAddr }`), and the engine looked up who has that address when the outcome came. Where a list names servers an address goes to another name, so a failed probe of the one before was counted against the next, or an answer for it. Lines at fault: `Input::Probed` in `Engine::handle`, `ids.get(server)`.

Change: both carry a `ProbeTarget`: the server's number, its address and its last start as listed when the probe was ordered. An outcome counts only while the list has that number at that address with that start. The start must match, exactly as the engine keeps it: a start told again by another clock within a second is the same there. Where a server has moved or restarted and is ready, the decisions still wait for an outcome (a server under suspicion would otherwise be probed only after 8 s), so the engine sends the probe again to where the server is now, once for each address and start. Outcomes of servers that are gone or forgotten are dropped as before. policy.rs is untouched.

Existing tests name the target in place of the address (same server, start as listed); nothing else of them changed.

--- a/crates/stepspur-conductor/src/engine/mod.rs
+++ b/crates/stepspur-conductor/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod intake;
 mod marks;
 mod order;
+mod probes;
 mod tables;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -33,10 +34,12 @@
 use ids::ProxyNumbers;
 use intake::{Counts, Intake, Key};
 use marks::Marks;
+use probes::Probes;
 use tables::Tables;
 
 pub use ids::{ServerIds, named_id};
 pub use order::{Admitted, Dialect, Farewell, Framed, Level, Order, Stamp};
+pub use probes::ProbeTarget;
 
 /// A proxy's stream, by a number that is never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
@@ -75,10 +78,10 @@
         /// Microseconds since 1970.
         unix: Micros,
     },
-    /// The result of a probe.
+    /// The result of a probe. It counts only while the list has its server at that address and with that start.
     Probed {
-        /// The server.
-        server: SocketAddr,
+        /// What it was sent to, as ordered.
+        target: ProbeTarget,
         /// The outcome.
         outcome: ProbeOutcome,
         /// Time since it was sent.
@@ -185,8 +188,8 @@
     },
     /// Probe a server.
     Probe {
-        /// The server.
-        server: SocketAddr,
+        /// What to send it to.
+        target: ProbeTarget,
     },
     /// Ask the source for changes from now on.
     Track,
@@ -367,6 +370,7 @@
     /// States that operators hold servers to be in.
     held: BTreeMap<ServerId, ListState>,
     doubter: Doubter,
+    probes: Probes,
     tables: Tables,
     dialect: Box<dyn Dialect>,
     channel: Channel,
@@ -453,6 +457,7 @@
             servers: BTreeMap::new(),
             held: BTreeMap::new(),
             doubter: Doubter::new(config.source.doubt().clone()),
+            probes: Probes::default(),
             channel: Channel::new(config.channel.lines_per_s),
             intake: Intake::new(config.reports.intake_per_s, micros(config.reports.gather), now),
             marks: Marks::default(),
@@ -471,12 +476,8 @@
         match input {
             Input::List { how, entries } => self.take_list(now, how, entries),
             Input::Wall { unix } => self.clock_off = now as i64 - unix as i64,
-            Input::Probed { server, outcome, latency, load } => {
-                let Some(server) = self.ids.get(server).filter(|id| self.servers.contains_key(id)) else {
-                    return;
-                };
-                let load = if load.iter().all(|v| v.is_finite()) { load } else { Vec::new() };
-                self.batch.push(Event::Probed { server, outcome, latency, load });
+            Input::Probed { target, outcome, latency, load } => {
+                self.take_outcome(target, outcome, latency, load);
             }
             Input::Frame { stream, frame } => self.take_frame(now, stream, frame),
             Input::Joined { stream, proxy, zone, rate, fresh } => {
@@ -659,10 +660,7 @@
         for action in &actions {
             match action {
                 Action::Wake { after, token } => _ = self.alarms.insert((now + after.max(&1), *token)),
-                Action::Probe { server } => {
-                    let server = self.ids.address(*server);
-                    self.out.extend(server.map(|server| Output::Probe { server }));
-                }
+                Action::Probe { server } => self.probe(*server),
                 Action::Track => self.out.push_back(Output::Track),
                 Action::Lookup => self.out.push_back(Output::Lookup),
                 Action::Log(text) => self.note(Note::Decision(self.ids.readable(text))),
@@ -673,6 +671,37 @@
         self.order(now, orders);
     }
 
+    /// Sends a probe to a server where the list has it now.
+    fn probe(&mut self, server: ServerId) {
+        let Some(target) = self.probe_target(server) else { return };
+        self.probes.sent(target);
+        self.out.push_back(Output::Probe { target });
+    }
+
+    /// What a probe of a server is sent to now; none if it is not listed.
+    fn probe_target(&self, server: ServerId) -> Option<ProbeTarget> {
+        let started = self.servers.get(&server)?.entry.started;
+        Some(ProbeTarget { server, address: self.ids.address(server)?, started })
+    }
+
+    /// Takes the outcome of a probe. Where its server has moved or restarted since, the outcome tells nothing of it,
+    /// and it is probed again if no later probe has been sent there.
+    fn take_outcome(&mut self, target: ProbeTarget, outcome: ProbeOutcome, latency: Micros, load: Vec<f32>) {
+        let server = target.server;
+        let Some(current) = self.probe_target(server) else { return };
+        if current == target {
+            let load = if load.iter().all(|v| v.is_finite()) { load } else { Vec::new() };
+            self.batch.push(Event::Probed { server, outcome, latency, load });
+        } else if self.is_ready(server) && !self.probes.is_newest(&current) {
+            self.probe(server);
+        }
+    }
+
+    /// True: the list has the server as ready.
+    fn is_ready(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(|listed| listed.entry.state == ListState::Ready)
+    }
+
     fn stamp(&self) -> Stamp {
         Stamp { epoch: self.epoch, sequence: self.sequence }
     }
@@ -1009,6 +1038,7 @@
             self.held.remove(&id);
             self.ids.forget(id);
             self.tables.forget(id);
+            self.probes.forget(id);
         }
     }
 
--- a/crates/stepspur-conductor/src/service/core.rs
+++ b/crates/stepspur-conductor/src/service/core.rs
@@ -1,7 +1,6 @@
 //! The task that owns the engine.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use stepspur::interface::Micros;
 use stepspur_proto::v1::Reason;
@@ -11,7 +10,7 @@
 use super::Clock;
 use super::identity::wall;
 use super::outbox::{Outbox, Outgoing};
-use crate::engine::{Engine, Input, Note, Operation, OperationError, Output, Stats, StreamId};
+use crate::engine::{Engine, Input, Note, Operation, OperationError, Output, ProbeTarget, Stats, StreamId};
 use crate::source::Ask;
 
 /// What the engine's task is sent.
@@ -38,7 +37,7 @@
     clock: Clock,
     inputs: mpsc::Receiver<Inbox>,
     ask: mpsc::Sender<Ask>,
-    probe: mpsc::Sender<SocketAddr>,
+    probe: mpsc::Sender<ProbeTarget>,
     stop: CancellationToken,
     peers: BTreeMap<StreamId, Peer>,
     nonsense: Pace,
@@ -79,7 +78,7 @@
         clock: Clock,
         inputs: mpsc::Receiver<Inbox>,
         ask: mpsc::Sender<Ask>,
-        probe: mpsc::Sender<SocketAddr>,
+        probe: mpsc::Sender<ProbeTarget>,
         stop: CancellationToken,
     ) -> Self {
         Self { engine, clock, inputs, ask, probe, stop, peers: BTreeMap::new(), nonsense: Pace::default() }
@@ -148,9 +147,9 @@
                     peer.cut.cancel();
                 }
             }
-            Output::Probe { server } => {
-                if self.probe.try_send(server).is_err() {
-                    tracing::warn!(event = "probe_dropped", %server, cause = "too many wait");
+            Output::Probe { target } => {
+                if self.probe.try_send(target).is_err() {
+                    tracing::warn!(event = "probe_dropped", server = %target.address, cause = "too many wait");
                 }
             }
             Output::Track => self.ask(Ask::Track),
--- a/crates/stepspur-conductor/src/service/prober.rs
+++ b/crates/stepspur-conductor/src/service/prober.rs
@@ -1,7 +1,6 @@
 //! Probes: an HTTP request to a server, bounded in number and time.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use stepspur::interface::ProbeOutcome;
@@ -12,7 +11,7 @@
 
 use super::core::Inbox;
 use crate::config::{Config, micros};
-use crate::engine::Input;
+use crate::engine::{Input, ProbeTarget};
 use crate::http::{HttpError, get};
 
 /// The largest load report that is read, in bytes.
@@ -24,7 +23,7 @@
 pub(crate) async fn run(
     config: Config,
     read_load: ReadLoad,
-    mut probes: mpsc::Receiver<SocketAddr>,
+    mut probes: mpsc::Receiver<ProbeTarget>,
     inbox: mpsc::Sender<Inbox>,
     stop: CancellationToken,
 ) {
@@ -32,10 +31,10 @@
     let room = Arc::new(Semaphore::new(config.probes.concurrency));
     let mut under_way = JoinSet::new();
     loop {
-        let server = tokio::select! {
+        let target = tokio::select! {
             () = stop.cancelled() => break,
-            server = probes.recv() => match server {
-                Some(server) => server,
+            target = probes.recv() => match target {
+                Some(target) => target,
                 None => break,
             },
             Some(_) = under_way.join_next() => continue,
@@ -47,19 +46,19 @@
         let (config, inbox) = (Arc::clone(&config), inbox.clone());
         under_way.spawn(async move {
             let _place = place;
-            let _ = inbox.send(probe(&config, read_load, server).await.into()).await;
+            let _ = inbox.send(probe(&config, read_load, target).await.into()).await;
         });
     }
     under_way.shutdown().await;
 }
 
-async fn probe(config: &Config, read_load: ReadLoad, server: SocketAddr) -> Input {
+async fn probe(config: &Config, read_load: ReadLoad, target: ProbeTarget) -> Input {
     let sent = Instant::now();
-    let answer = get(server, &config.probes.path, config.probes.timeout, LARGEST).await;
+    let answer = get(target.address, &config.probes.path, config.probes.timeout, LARGEST).await;
     if let Ok((status, body)) = &answer {
         // What crossed the socket, to be held against what is believed of it.
         let (status, body) = (status.as_u16(), String::from_utf8_lossy(&body[..body.len().min(200)]));
-        tracing::debug!(event = "probe_answered", %server, status, %body);
+        tracing::debug!(event = "probe_answered", server = %target.address, status, %body);
     }
     let (outcome, load) = match answer {
         Ok((status, body)) => match status.as_u16() {
@@ -71,7 +70,7 @@
         Err(HttpError::Timeout(_)) => (ProbeOutcome::Timeout, Vec::new()),
         Err(_) => (ProbeOutcome::Reset, Vec::new()),
     };
-    Input::Probed { server, outcome, latency: micros(sent.elapsed()), load }
+    Input::Probed { target, outcome, latency: micros(sent.elapsed()), load }
 }
 
 /// A load report as a JSON object.
--- a/crates/stepspur-conductor/tests/common/mod.rs
+++ b/crates/stepspur-conductor/tests/common/mod.rs
@@ -10,9 +10,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use stepspur::interface::ListState;
+use stepspur::interface::{ListState, ServerId};
 use stepspur_conductor::config::{Channel, ClassConfig, Config, EffectConfig, Fleet, Source};
-use stepspur_conductor::engine::NodeEntry;
+use stepspur_conductor::engine::{NodeEntry, ProbeTarget};
 use stepspur_proto::{FromProxy, VERSION, from_proxy, v1};
 
 pub fn config() -> Config {
@@ -65,6 +65,13 @@
     SocketAddr::from(([127, 0, 0, 1], 9000 + k as u16))
 }
 
+/// What a probe is sent to of a server that started then.
+pub fn probe_target(k: usize, started: u64) -> ProbeTarget {
+    let address = address(k);
+    let [high, low] = address.port().to_be_bytes();
+    ProbeTarget { server: ServerId([127, 0, 0, 1, high, low]), address, started }
+}
+
 /// Servers of both zones in turn, all ready and warm.
 pub fn nodes(count: usize) -> Vec<NodeEntry> {
     let zone = |k: usize| ["a", "b"][k % 2].to_owned();
--- a/crates/stepspur-conductor/tests/engine.rs
+++ b/crates/stepspur-conductor/tests/engine.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use common::day::{Day, EPOCH, SECOND};
-use common::{address, all, config, hello, nodes, with_state};
+use common::{address, all, config, hello, nodes, probe_target, with_state};
 use proptest::prelude::*;
 use stepspur::interface::{ListHow, ListState, ProbeOutcome};
 use stepspur_conductor::engine::{Input, NodeEntry, Note, Output, StreamId};
@@ -299,7 +299,8 @@
             }
             Step::Probe(k, ok) => {
                 let outcome = if ok { ProbeOutcome::Ok } else { ProbeOutcome::Timeout };
-                let probed = Input::Probed { server: address(k.into()), outcome, latency: 5, load: vec![] };
+                let target = probe_target(k.into(), 0);
+                let probed = Input::Probed { target, outcome, latency: 5, load: vec![] };
                 day.engine.handle(day.now, probed);
             }
             Step::Wait(span) => day.run(span),
--- a/crates/stepspur-conductor/tests/faults.rs
+++ b/crates/stepspur-conductor/tests/faults.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::day::{Day, EPOCH, SECOND};
-use common::{address, all, config, hello, nodes, with_state};
+use common::{address, all, config, hello, nodes, probe_target, with_state};
 use stepspur::interface::{ListHow, ListState, ProbeOutcome};
 use stepspur_conductor::config::{Config, EffectConfig, Source};
 use stepspur_conductor::engine::{Input, NodeEntry, Note, Operation, Output, StreamId};
@@ -352,7 +352,8 @@
         };
         for _ in 0..2 {
             let (outcome, load) = (ProbeOutcome::Ok, vec![]);
-            day.engine.handle(day.now, Input::Probed { server: address(2), outcome, latency: 1, load });
+            let target = probe_target(2, 0);
+            day.engine.handle(day.now, Input::Probed { target, outcome, latency: 1, load });
             day.frame(1, FromProxy::new(EPOCH, 0, from_proxy::Kind::Report(report.clone())));
             day.say(ListHow::Delta, gone([2]));
             day.run(SECOND);
@@ -555,10 +556,8 @@
                 }
                 10 => {
                     let outcome = [ProbeOutcome::Ok, ProbeOutcome::Full][dice.roll(2) as usize];
-                    day.engine.handle(
-                        day.now,
-                        Input::Probed { server: address(k), outcome, latency: 1, load: vec![] },
-                    );
+                    let target = probe_target(k, world[k].started);
+                    day.engine.handle(day.now, Input::Probed { target, outcome, latency: 1, load: vec![] });
                 }
                 _ => day.say(ListHow::Failed, vec![]),
             }
--- a/crates/stepspur-fleet/src/world.rs
+++ b/crates/stepspur-fleet/src/world.rs
@@ -13,7 +13,7 @@
 use stepspur::interface::{ListHow, ListState, ProbeOutcome};
 use stepspur_conductor::Config;
 use stepspur_conductor::config::{EffectConfig, GroupConfig};
-use stepspur_conductor::engine::{Engine, Input, NodeEntry, Output, StreamId};
+use stepspur_conductor::engine::{Engine, Input, NodeEntry, Output, ProbeTarget, StreamId};
 use stepspur_conductor::source::{NodeRecord, NodeState};
 use stepspur_model::Micros;
 use stepspur_model::memory::Memory;
@@ -127,8 +127,8 @@
     /// A conductor has something to do.
     Engine(usize, u64),
     /// A probe reaches a server, and its answer the conductor.
-    Probe(usize, u64, usize, Micros),
-    Probed(usize, u64, usize, Micros, ProbeOutcome, Option<Load>),
+    Probe(usize, u64, ProbeTarget, Micros),
+    Probed(usize, u64, ProbeTarget, Micros, ProbeOutcome, Option<Load>),
     /// The list answers a conductor: the whole, or changes of these.
     Listed(usize, u64, bool, Vec<usize>),
     /// The list learns a server's state and start.
@@ -411,12 +411,12 @@
                     self.act(conductor);
                 }
             }
-            Due::Probe(conductor, life, server, sent) => self.probe(conductor, life, server, sent),
-            Due::Probed(conductor, life, server, sent, outcome, load) => {
+            Due::Probe(conductor, life, target, sent) => self.probe(conductor, life, target, sent),
+            Due::Probed(conductor, life, target, sent, outcome, load) => {
                 if self.conductors[conductor].life == life {
                     let load = load.map(|l| self.columns(l)).unwrap_or_default();
-                    let (server, latency) = (address(server), self.now - sent);
-                    self.tell(conductor, Input::Probed { server, outcome, latency, load });
+                    let latency = self.now - sent;
+                    self.tell(conductor, Input::Probed { target, outcome, latency, load });
                 }
             }
             Due::Listed(conductor, life, whole, servers) => self.listed(conductor, life, whole, servers),
@@ -525,7 +525,7 @@
         request.serial += 1;
         let (serial, proxy) = (request.serial, request.drawn.proxy);
         let zone = self.proxies[proxy].zone;
-        let target = place(to).filter(|k| *k < self.servers.len());
+        let target = self.server_at(to);
         let Some(server) = target else {
             // A ghost: nobody listens there.
             self.due.put(self.now + 2 * self.options.near, Due::Back(id, serial, Tried::NeverRan));
@@ -979,18 +979,18 @@
                         self.hang_up(proxy, false);
                     }
                 }
-                Some(Output::Probe { server }) => {
-                    if let Some(server) = place(server).filter(|s| *s < self.servers.len()) {
+                Some(Output::Probe { target }) => {
+                    if let Some(server) = self.server_at(target.address) {
                         let to = self.plan.servers[server].zone;
                         let from = self.conductors[k].zone;
                         match self.way(from, to) {
-                            Some(way) => self.due.put(now + 3 * way, Due::Probe(k, life, server, now)),
-                            None => self.probe_lost(k, life, server, now),
+                            Some(way) => self.due.put(now + 3 * way, Due::Probe(k, life, target, now)),
+                            None => self.probe_lost(k, life, target, now),
                         }
-                    } else if let Some(server) = place(server) {
+                    } else if place(target.address).is_some() {
                         let back = now + 2 * self.options.near;
                         self.due
-                            .put(back, Due::Probed(k, life, server, now, ProbeOutcome::Unreachable, None));
+                            .put(back, Due::Probed(k, life, target, now, ProbeOutcome::Unreachable, None));
                     }
                 }
                 Some(Output::Track) => {
@@ -1021,18 +1021,24 @@
         Some(decoded)
     }
 
-    fn probe_lost(&mut self, k: usize, life: u64, server: usize, sent: Micros) {
+    /// The place of the server at an address.
+    fn server_at(&self, address: SocketAddr) -> Option<usize> {
+        place(address).filter(|place| *place < self.servers.len())
+    }
+
+    fn probe_lost(&mut self, k: usize, life: u64, target: ProbeTarget, sent: Micros) {
         let at = sent + micros(self.config.probes.timeout);
-        self.due.put(at, Due::Probed(k, life, server, sent, ProbeOutcome::Timeout, None));
+        self.due.put(at, Due::Probed(k, life, target, sent, ProbeOutcome::Timeout, None));
     }
 
-    fn probe(&mut self, k: usize, life: u64, place: usize, sent: Micros) {
+    fn probe(&mut self, k: usize, life: u64, target: ProbeTarget, sent: Micros) {
         let now = self.now;
+        let Some(place) = self.server_at(target.address) else { return };
         let srv = &mut self.servers[place];
         let zone = self.plan.servers[place].zone;
         if !srv.up {
             let back = now + self.options.near;
-            self.due.put(back, Due::Probed(k, life, place, sent, ProbeOutcome::Unreachable, None));
+            self.due.put(back, Due::Probed(k, life, target, sent, ProbeOutcome::Unreachable, None));
             return;
         }
         let load = if srv.silent { None } else { srv.server.probe(now) };
@@ -1051,9 +1057,9 @@
                         lat_ms: load.lat_ms * times,
                     },
                 };
-                self.due.put(now + way, Due::Probed(k, life, place, sent, ProbeOutcome::Ok, Some(shown)));
+                self.due.put(now + way, Due::Probed(k, life, target, sent, ProbeOutcome::Ok, Some(shown)));
             }
-            _ => self.probe_lost(k, life, place, sent),
+            _ => self.probe_lost(k, life, target, sent),
         }
         self.wake_server(place);
     }
