Let a member without a disk sleep, and send followers what is agreed

Cause: `Member::next_at` counted `renew_at` also for a retired member, and `renew` returned before it moved `renew_at` on: the time stayed in the past, and the service looked at its clock once a millisecond for ever. Found on the way, all forced by tests that failed before: - A voter whose disk fails later followed nothing more: `is_written_to` held by the leader that it had known then, whose messages it drops. It now fetches like any follower, and neither answers fetches nor tells its status by the old leader's name. - A follower that meets an entry which its program does not know fetched that entry again and again without a pause: `fetch_at` was set to now although nothing was applied. It asks no more. - A voter that held an entry after a majority did was told that it is agreed by a message that ended before the entry, so that it applied it with the next heartbeat (200 ms). The leader tells it when it answers (`tell_agreed`). - Followers fetched at each heartbeat, from all members in turn: other followers among them, which know nothing.

Change: retired members have no renewal due. `member/follow.rs`: a follower stays with a voter that has a leader, fetches once per election time, and is sent what is agreed in between; a gap, a lost answer, or a source without a leader sends it elsewhere. Messages are the same; an older voter is asked once per election time. `leading.rs` takes what a leader knows out of core.rs.

--- a/crates/stepspur-council/src/core.rs
+++ b/crates/stepspur-council/src/core.rs
@@ -3,7 +3,7 @@
 //! After Ongaro and Ousterhout 2014 ("the paper") and Ongaro's thesis. It has no clock, socket, disk or chance of its
 //! own: it is told events with their time, and gives back effects.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
@@ -11,6 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::ids::{Index, MemberId, Micros, Term};
+use crate::leading::{Leading, Peer};
 use crate::log::{Entry, Log, Payload, Snapshot, Voters};
 use crate::message::{Message, Note};
 use crate::settings::Settings;
@@ -117,45 +118,6 @@
     Retired,
 }
 
-/// What a leader knows.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Leading {
-    pub peers: BTreeMap<MemberId, Peer>,
-    /// Its first entry: once agreed, all before is, too.
-    pub first: Index,
-    pub round: u64,
-    /// Questions, and the round that confirms each.
-    pub questions: VecDeque<(Question, u64)>,
-    pub hand_to: Option<(MemberId, Micros)>,
-    pub joining: Option<Joining>,
-}
-
-/// A member as its leader sees it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Peer {
-    /// The next entry to send.
-    pub next: Index,
-    /// The last that it surely holds.
-    pub matched: Index,
-    /// The newest round that it answered, and when.
-    pub round: u64,
-    pub heard_at: Micros,
-    /// Entries were sent and not answered, since then: no more until it answers or a heartbeat has passed.
-    pub waits_since: Option<Micros>,
-    pub sent_at: Micros,
-    /// The snapshot that it is sent, and how far.
-    pub snapshot: Option<(Index, u64)>,
-}
-
-/// One that is to vote and catches up (thesis 4.2.1).
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Joining {
-    pub member: MemberId,
-    pub target: Index,
-    pub began: Micros,
-    pub rounds: u32,
-}
-
 /// A member of the council.
 #[derive(Clone, Debug)]
 pub struct Core {
--- a/crates/stepspur-council/src/lib.rs
+++ b/crates/stepspur-council/src/lib.rs
@@ -15,6 +15,7 @@
 mod duty;
 mod fence;
 mod ids;
+mod leading;
 mod lease;
 mod log;
 mod member;
--- a/crates/stepspur-council/src/member.rs
+++ b/crates/stepspur-council/src/member.rs
@@ -15,6 +15,10 @@
 use crate::settings::Settings;
 use crate::state::{SHARED, State};
 
+mod follow;
+
+use follow::{Fetching, Subscribers};
+
 /// One that would hold duties.
 #[derive(Clone, Debug)]
 struct Applicant {
@@ -53,7 +57,8 @@
     turn: usize,
     leader: Option<MemberId>,
     renew_at: Micros,
-    fetch_at: Micros,
+    fetching: Fetching,
+    subscribers: Subscribers,
     /// Reads asked for so far.
     reads: u64,
     now: Micros,
@@ -96,7 +101,8 @@
             turn: id.0 as usize,
             leader: None,
             renew_at: now,
-            fetch_at: now,
+            fetching: Fetching::new(now),
+            subscribers: Subscribers::default(),
             reads: 0,
             now,
             out: Vec::new(),
@@ -133,7 +139,7 @@
 
     /// Who leads, as far as it knows.
     pub fn leader(&self) -> Option<MemberId> {
-        self.core.leader().or(self.leader)
+        self.written_by().or(self.leader)
     }
 
     /// The token by which it may act on a duty now; none if it may not. To be asked right before each act, and told
@@ -154,8 +160,9 @@
 
     /// When [`Member::tick`] is due at the latest.
     pub fn next_at(&self) -> Micros {
-        let follows = if self.is_written_to() { Micros::MAX } else { self.fetch_at };
-        self.core.next_at().min(self.renew_at).min(follows)
+        let fetch_at = if self.fetches() { self.fetching.due_at } else { Micros::MAX };
+        let renew_at = if self.core.is_retired() { Micros::MAX } else { self.renew_at };
+        self.core.next_at().min(renew_at).min(fetch_at)
     }
 
     /// Time passes.
@@ -163,11 +170,7 @@
         self.now = self.now.max(now);
         self.core.tick(self.now);
         self.act();
-        if !self.is_written_to() && self.now >= self.fetch_at {
-            self.fetch_at = self.now + self.set.heartbeat;
-            let from = self.duties.applied().next();
-            self.write_any(Peer::Fetch { from });
-        }
+        self.fetch();
         self.allot();
         self.renew();
         std::mem::take(&mut self.out)
@@ -218,22 +221,8 @@
                 self.out.push(Out::Read(number, Some(index)));
             }
             Peer::Fetch { from: index } => self.fetched_from(from, index),
-            Peer::Fetched { entries, leader } => {
-                self.leader = leader.or(self.leader);
-                for entry in entries {
-                    if entry.index == self.duties.applied().next() {
-                        self.apply(entry);
-                        self.fetch_at = self.now;
-                    }
-                }
-            }
-            Peer::FetchedState { index, state, leader } => {
-                self.leader = leader.or(self.leader);
-                if index > self.duties.applied() {
-                    self.restore(&state, index);
-                    self.fetch_at = self.now;
-                }
-            }
+            Peer::Fetched { entries, leader } => self.entries_fetched(from, entries, leader),
+            Peer::FetchedState { index, state, leader } => self.state_fetched(from, index, &state, leader),
         }
         std::mem::take(&mut self.out)
     }
@@ -316,10 +305,16 @@
         self.set.election / self.set.renew.max(1) + 2
     }
 
-    /// True: a leader writes to it, as far as it knows. One that was removed while it was cut off may not know that:
-    /// without a leader it asks others what was agreed, like one that never voted.
+    /// The leader that writes to it, as far as it knows. One that was removed while it was cut off may not know that:
+    /// without a leader it asks others what was agreed, like one that never voted. So does one whose disk has failed,
+    /// as it takes nothing more from a leader.
+    fn written_by(&self) -> Option<MemberId> {
+        let votes = self.core.log().voters().0.contains(&self.core.id()) && !self.core.is_retired();
+        self.core.leader().filter(|_| votes)
+    }
+
     fn is_written_to(&self) -> bool {
-        self.core.log().voters().0.contains(&self.core.id()) && self.core.leader().is_some()
+        self.written_by().is_some()
     }
 
     /// Does what the log below asks for.
@@ -359,6 +354,7 @@
             _ => {}
         }
         self.answer();
+        self.send_agreed();
         if self.core.log().len() > self.set.log_max && self.duties.applied() <= self.core.commit() {
             self.core.compact(self.duties.applied(), self.encode());
             // What is to be saved of it goes out with this step.
@@ -562,23 +558,12 @@
         }
     }
 
-    /// What was agreed from an entry on, for one that only follows.
-    fn fetched_from(&mut self, to: MemberId, from: Index) {
-        let (log, commit, leader) = (self.core.log(), self.core.commit(), self.core.leader());
-        let answer = if from > log.base().index {
-            let most = (commit.next().0.saturating_sub(from.0) as usize).min(self.set.batch);
-            Peer::Fetched { entries: log.from(from, most), leader }
-        } else {
-            Peer::FetchedState { index: self.duties.applied(), state: self.encode(), leader }
-        };
-        self.out.push(Out::Send(to, answer));
-    }
-
     fn write_leader(&mut self, message: Peer) {
         match self.leader().filter(|l| *l != self.core.id()) {
             Some(leader) => {
-                // If it does not answer, the next is asked.
+                // If it does not answer, the next is asked; a fetch tells who leads.
                 self.leader = None;
+                self.fetching.due_at = self.fetching.due_at.min(self.now + self.set.heartbeat);
                 self.out.push(Out::Send(leader, message));
             }
             None => self.write_any(message),
@@ -586,13 +571,8 @@
     }
 
     fn write_any(&mut self, message: Peer) {
-        let known = self.core.log().voters().0;
-        let voters = if known.is_empty() { &self.voters } else { known };
-        let others: Vec<MemberId> = voters.iter().copied().filter(|m| *m != self.core.id()).collect();
-        if others.is_empty() {
-            return;
+        if let Some(other) = self.next_other() {
+            self.out.push(Out::Send(other, message));
         }
-        self.turn = (self.turn + 1) % others.len();
-        self.out.push(Out::Send(others[self.turn], message));
     }
 }
--- a/crates/stepspur-council/src/replicate.rs
+++ b/crates/stepspur-council/src/replicate.rs
@@ -4,8 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::core::{Change, Core, Effect, Joining, Leading, Peer, Refused, Role};
+use crate::core::{Change, Core, Effect, Refused, Role};
 use crate::ids::{Index, MemberId, Micros, Term};
+use crate::leading::{Joining, Leading, Peer};
 use crate::log::{Entry, Payload, Snapshot, Voters};
 use crate::message::{Message, Note};
 
@@ -169,6 +170,8 @@
                 let entries = if waits { Vec::new() } else { self.log.from(peer.next, set.batch) };
                 peer.waits_since = (!entries.is_empty()).then_some(now).or(peer.waits_since);
                 peer.snapshot = None;
+                let upto = entries.last().map_or(previous, |entry| entry.index);
+                peer.told = peer.told.max(self.commit.min(upto));
                 let (previous, commit) = ((previous, previous_term), self.commit);
                 Message::Append { term, previous, entries, commit, round }
             }
@@ -215,6 +218,7 @@
         self.catch_up();
         self.hand_if_ready();
         self.write_to(from, false);
+        self.tell_agreed(from);
     }
 
     pub(crate) fn snapshot_answered(&mut self, from: MemberId, covers: Index, next: u64, round: u64) {
@@ -240,6 +244,16 @@
         self.write_to(from, more);
     }
 
+    /// One that held an entry only after a majority did was told that it is agreed before it could count on it: without
+    /// this it would apply it with the next heartbeat.
+    fn tell_agreed(&mut self, member: MemberId) {
+        let Role::Leader(leading) = &self.role else { return };
+        let Some(peer) = leading.peers.get(&member) else { return };
+        if peer.told < self.commit.min(peer.matched) {
+            self.write_to(member, true);
+        }
+    }
+
     /// Questions are confirmed by a majority that answered a round begun after them.
     pub(crate) fn confirm(&mut self) {
         let voters = self.log.voters().0;
