Read an operation's id back from the text that it is shown as

An operator who is told that an outcome is unknown proposes again under the operation's id, which could be written and not read. Tested both ways, with texts that are none.

--- a/crates/stepspur-shared/src/command.rs
+++ b/crates/stepspur-shared/src/command.rs
@@ -33,6 +33,31 @@
     }
 }
 
+/// A text is not an operation's id as [`OpId`] is written.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is no operation: expected m-MEMBER-LIFE-NUMBER@ENTRY")]
+pub struct BadOpId(String);
+
+impl std::str::FromStr for OpId {
+    type Err = BadOpId;
+
+    fn from_str(text: &str) -> Result<Self, BadOpId> {
+        let read = || {
+            let (operation, since) = text.strip_prefix("m-")?.split_once('@')?;
+            let (member, rest) = operation.split_once('-')?;
+            let (life, number) = rest.split_once('-')?;
+            let hexadecimal = |digits| u64::from_str_radix(digits, 16).ok();
+            Some(Self {
+                member: MemberId(hexadecimal(member)?),
+                life: hexadecimal(life)?,
+                number: number.parse().ok()?,
+                since: Index(since.parse().ok()?),
+            })
+        };
+        read().ok_or_else(|| BadOpId(text.chars().take(64).collect()))
+    }
+}
+
 /// A command on a book.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Command {
@@ -79,3 +104,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/stepspur-shared/src/lib.rs
+++ b/crates/stepspur-shared/src/lib.rs
@@ -18,5 +18,5 @@
 
 pub use book::{Book, BookId, Refusal};
 pub use books::{Books, KEPT, OUTCOME_MOST};
-pub use command::{BODY_MOST, Command, OpId, Outcome};
+pub use command::{BODY_MOST, BadOpId, Command, OpId, Outcome};
 pub use shared::{Failed, Limits, Shared, Stale};
