Start control members and subscribers with a conductor

What operators hold and cap was agreed on and pushed by parts that no program started. A conductor now starts its control member on the council's member with the book of configuration, and its subscriber on its tenants' engines, and ends the subscriber first at a stop. POST and GET /v1/config, /v1/config/versions/TERM.INDEX and /v1/config/subscribers/remove are audited as the other calls are; an operator of one tenant changes that tenant's documents alone unless it may administer. The status page shows both parts. operator.rs is split, Desk is OperatorApi. With [distribution] unset nothing changes.

--- /dev/null
+++ b/crates/stepspur-cli/tests/common/distribution.rs
@@ -0,0 +1,340 @@
+//! Control members and subscribers as processes, a proxy's stream, and an operator's calls; every wait is bounded.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use serde_json::Value;
+use stepspur_identity::keys::read_manifest;
+use stepspur_identity::tls;
+use stepspur_proto::{Frames, FromConductor, FromProxy, VERSION, from_conductor, from_proxy, v1};
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use tokio_rustls::TlsConnector;
+use tokio_rustls::rustls::ClientConfig;
+use tokio_rustls::rustls::pki_types::pem::PemObject;
+use tokio_rustls::rustls::pki_types::{CertificateDer, ServerName};
+use tokio_util::codec::Framed;
+use tokio_util::task::AbortOnDropHandle;
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_stepspur");
+/// Every wait of a test ends after this: it is no measure of speed.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// A poll asks again after this.
+const AGAIN: Duration = Duration::from_millis(30);
+
+/// Ended with the test, whatever becomes of it.
+pub struct Process {
+    child: Child,
+    pub listening: SocketAddr,
+    pub status: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Starts the program and waits until it says where it listens.
+    pub fn start(config: &Path) -> Self {
+        let mut child = Command::new(PROGRAM)
+            .args(["run", "--log", "warn", "--config", config.to_str().unwrap()])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut out = BufReader::new(child.stdout.take().unwrap());
+        let (tell, told) = mpsc::channel();
+        std::thread::spawn(move || {
+            let mut line = String::new();
+            let _ = out.read_line(&mut line);
+            let _ = tell.send(line);
+        });
+        let line = told.recv_timeout(PATIENCE).expect("an announcement");
+        let said: Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e}: {line:?}"));
+        let address = |key: &str| said[key].as_str().unwrap().parse().unwrap();
+        Self { child, listening: address("listening"), status: address("status") }
+    }
+
+    /// Ends it in order, and gives the exit code.
+    pub fn terminate(mut self) -> Option<i32> {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        self.child.wait().unwrap().code()
+    }
+
+    /// A page of its status address: the code and the JSON.
+    pub async fn page(&self, path: &str) -> (u16, Value) {
+        let asked = stepspur_conductor::http::get(self.status, path, PATIENCE, 1 << 20);
+        let (code, body) = asked.await.unwrap();
+        (code.as_u16(), serde_json::from_slice(&body).unwrap_or_default())
+    }
+
+    /// Asks for a page until it is as wanted.
+    pub async fn until(&self, path: &str, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
+        until(what, async || self.page(path).await.1, wanted).await
+    }
+}
+
+/// Asks until the answer is as wanted.
+pub async fn until(what: &str, ask: impl AsyncFn() -> Value, wanted: impl Fn(&Value) -> bool) -> Value {
+    let mut last = Value::Null;
+    let asked = async {
+        loop {
+            last = ask().await;
+            if wanted(&last) {
+                return;
+            }
+            sleep(AGAIN).await;
+        }
+    };
+    let in_time = timeout(PATIENCE, asked).await.is_ok();
+    assert!(in_time, "in vain: {what}; {last}");
+    last
+}
+
+/// A folder of settings, keys and state files, with ports for so many control members.
+pub struct Fleet {
+    folder: TempDir,
+    council: Vec<SocketAddr>,
+    control: Vec<SocketAddr>,
+    pub operators: Vec<SocketAddr>,
+    tls: Arc<ClientConfig>,
+}
+
+fn ports(count: usize) -> Vec<SocketAddr> {
+    let held: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    held.iter().map(|port| port.local_addr().unwrap()).collect()
+}
+
+/// The settings that all conductors of a test share; the fleet's classes are `read` and `write`.
+const BASE: &str = r#"
+[fleet]
+zones = ["a"]
+proxies = 4
+[[fleet.classes]]
+name = "read"
+effect = "read_like"
+aim = "1s"
+deadline = "3s"
+[[fleet.classes]]
+name = "write"
+effect = "non_idempotent"
+aim = "1s"
+deadline = "3s"
+[probes]
+enabled = false
+[status]
+address = "127.0.0.1:0"
+[source]
+kind = "file"
+every = "50ms"
+"#;
+
+impl Fleet {
+    /// Control members with keys and founded state files.
+    pub fn new(control: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let all = ports(3 * control);
+        let part = |k: usize| all[k * control..(k + 1) * control].to_vec();
+        let nodes: String =
+            (1..=4).map(|k| format!("[[node]]\naddress = \"127.0.0.1:900{k}\"\nzone = \"a\"\n")).collect();
+        std::fs::write(folder.path().join("nodes.toml"), nodes).unwrap();
+        let keys = folder.path().join("identity");
+        let dir = keys.to_str().unwrap();
+        stepspur(&["keys", "new", "--dir", dir, "--issuer", "desk", "--audience", "test"]);
+        let anchor = &read_manifest(&keys).unwrap().anchor[0].file;
+        let anchor = CertificateDer::from_pem_file(keys.join(anchor)).unwrap();
+        let tls = tls::client(&[anchor], None).unwrap();
+        let fleet = Self { folder, council: part(0), control: part(1), operators: part(2), tls };
+        for id in 1..=control {
+            stepspur(&["council", "found", "--config", fleet.control_config(id).to_str().unwrap()]);
+        }
+        fleet
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    fn base(&self) -> String {
+        format!("{BASE}path = {:?}\n", self.path("nodes.toml"))
+    }
+
+    /// All control members; the last of them stands in another region.
+    fn members(&self) -> String {
+        let region = |k: usize| if k + 1 == self.control.len() { "south" } else { "north" };
+        let member = |(k, at): (usize, &SocketAddr)| {
+            format!(
+                "[[distribution.control.members]]\nid = {}\naddress = \"{at}\"\nregion = \"{}\"\n",
+                k + 1,
+                region(k)
+            )
+        };
+        self.control.iter().enumerate().map(member).collect()
+    }
+
+    /// Writes the settings of a control member.
+    pub fn control_config(&self, id: usize) -> PathBuf {
+        let (operators, members) = (self.operators[id - 1], self.members());
+        let conductors: String = (1..)
+            .zip(&self.council)
+            .map(|(id, at)| format!("[[council.conductors]]\nid = {id}\naddress = \"{at}\"\n"))
+            .collect();
+        let text = format!(
+            "{base}[listen]\naddress = \"127.0.0.1:0\"\n\
+             [identity]\nfolder = {keys:?}\naudit = {audit:?}\ncertificates = \"optional\"\noperators = \"{operators}\"\n\
+             [council]\nid = {id}\nstate = {state:?}\nelection = \"300ms\"\nheartbeat = \"60ms\"\nrenew = \"120ms\"\n\
+             {conductors}[distribution.control]\nkeep_alive = \"300ms\"\n{members}",
+            base = self.base(),
+            keys = self.path("identity"),
+            audit = self.path(&format!("audit-{id}.jsonl")),
+            state = self.path(&format!("council-{id}.redb")),
+        );
+        self.write(&format!("control-{id}.toml"), &text)
+    }
+
+    /// Writes the settings of a subscriber of the service `shop`.
+    pub fn subscriber_config(&self, name: &str) -> PathBuf {
+        let text = format!(
+            "{base}[listen]\naddress = \"127.0.0.1:0\"\nplain_on_loopback = true\n\
+             [distribution.subscriber]\nname = {name:?}\nregion = \"north\"\nstate = {state:?}\n\
+             control = {control:?}\n[[distribution.subscriber.services]]\nservice = \"shop\"\n",
+            base = self.base(),
+            state = self.path(&format!("{name}.redb")),
+            control = self.control.iter().map(SocketAddr::to_string).collect::<Vec<_>>(),
+        );
+        self.write(&format!("{name}.toml"), &text)
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.path(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    pub fn audit(&self, id: usize) -> String {
+        std::fs::read_to_string(self.path(&format!("audit-{id}.jsonl"))).unwrap_or_default()
+    }
+
+    /// A token of the tenant with these rights.
+    pub fn token(&self, tenant: &str, rights: &[&str]) -> String {
+        let dir = self.path("identity");
+        let mut args = vec!["token", "issue", "--dir", dir.to_str().unwrap()];
+        args.extend(["--tenant", tenant, "--name", "olga"]);
+        args.extend(rights.iter().flat_map(|right| ["--right", right]));
+        stepspur(&args).trim().to_owned()
+    }
+
+    /// An operator's call at a control member: the code and the answer.
+    pub async fn call(&self, id: usize, token: &str, line: &str, body: &str) -> (u16, Value) {
+        self.try_call(id, token, line, body).await.unwrap()
+    }
+
+    /// As [`Fleet::call`]; a member that is not there is an error.
+    pub async fn try_call(
+        &self,
+        id: usize,
+        token: &str,
+        line: &str,
+        body: &str,
+    ) -> std::io::Result<(u16, Value)> {
+        let address = self.operators[id - 1];
+        let socket = TcpStream::connect(address).await?;
+        let connector = TlsConnector::from(Arc::clone(&self.tls));
+        let mut stream = connector.connect(ServerName::from(address.ip()), socket).await?;
+        let length = body.len();
+        let request = format!(
+            "{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nauthorization: Bearer {token}\r\n\
+             content-length: {length}\r\n\r\n{body}"
+        );
+        stream.write_all(request.as_bytes()).await?;
+        let mut answer = Vec::new();
+        let _ = timeout(PATIENCE, stream.read_to_end(&mut answer)).await.expect("an answer in time");
+        let answer = String::from_utf8_lossy(&answer).into_owned();
+        let code = answer.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+        let body = answer.split("\r\n\r\n").nth(1).unwrap_or_default();
+        Ok((code, serde_json::from_str(body).unwrap_or_default()))
+    }
+}
+
+/// A command of the program that must succeed: its output.
+fn stepspur(args: &[&str]) -> String {
+    let output = Command::new(PROGRAM).args(args).output().unwrap();
+    assert!(output.status.success(), "{args:?}: {}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// A proxy's stream: it answers marks and pings, and shows the share of each class that it was ordered.
+pub struct Proxy {
+    shares: watch::Receiver<[f32; 2]>,
+    _task: AbortOnDropHandle<()>,
+}
+
+impl Proxy {
+    pub async fn join(address: SocketAddr, name: &str) -> Self {
+        let socket = TcpStream::connect(address).await.unwrap();
+        let mut frames = Framed::new(socket, Frames::<FromConductor, FromProxy>::new(1 << 20));
+        let hello = v1::Hello {
+            version: VERSION,
+            name: name.into(),
+            zone: "a".into(),
+            fresh: true,
+            ..Default::default()
+        };
+        frames.send(FromProxy::new(0, 0, from_proxy::Kind::Hello(hello))).await.unwrap();
+        let (show, shares) = watch::channel([1.0; 2]);
+        let task = AbortOnDropHandle::new(tokio::spawn(follow(frames, show)));
+        Self { shares, _task: task }
+    }
+
+    /// The share of a class that holds now.
+    pub fn share(&self, class: usize) -> f32 {
+        self.shares.borrow()[class]
+    }
+
+    /// Waits until a class has this share.
+    pub async fn until_share(&mut self, class: usize, share: f32) {
+        let ordered = timeout(PATIENCE, self.shares.wait_for(|shares| shares[class] == share)).await;
+        let ordered = ordered.unwrap_or_else(|_| panic!("class {class} was never ordered {share}"));
+        ordered.expect("the stream stands");
+    }
+}
+
+async fn follow(
+    mut frames: Framed<TcpStream, Frames<FromConductor, FromProxy>>,
+    show: watch::Sender<[f32; 2]>,
+) {
+    while let Some(Ok(frame)) = frames.next().await {
+        let answer = match frame.kind {
+            Some(from_conductor::Kind::Order(order)) => {
+                let whole = order.table.iter().flat_map(|table| &table.levels);
+                for level in whole.chain(&order.levels) {
+                    if let Some(v1::level::Admit::Share(share)) = level.admit {
+                        show.send_modify(|shares| shares[level.class as usize] = share);
+                    }
+                }
+                order.mark.map(|mark| from_proxy::Kind::Applied(v1::Applied { mark, took_us: 0 }))
+            }
+            Some(from_conductor::Kind::Ping(ping)) => {
+                Some(from_proxy::Kind::Pong(v1::Pong { token: ping.token }))
+            }
+            _ => None,
+        };
+        if let Some(answer) = answer
+            && frames.send(FromProxy::new(frame.epoch, frame.sequence, answer)).await.is_err()
+        {
+            return;
+        }
+    }
+}
--- a/crates/stepspur-conductor/src/service/front.rs
+++ b/crates/stepspur-conductor/src/service/front.rs
@@ -15,6 +15,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::core::Inbox;
+use super::distribution::Distribution;
 use super::outbox::{Outbox, Outgoings, Waiting};
 use super::prober::ReadLoad;
 use super::{Clock, Conductor, Heart, StartError, Tied, listen};
@@ -136,6 +137,7 @@
             inbox,
             grace,
             council: None,
+            distribution: Distribution::default(),
         })
     }
 }
--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -5,6 +5,7 @@
 
 mod audit;
 mod core;
+mod distribution;
 mod front;
 mod identity;
 mod linger;
@@ -22,6 +23,10 @@
 use std::time::{Duration, SystemTime};
 
 use stepspur::interface::{Micros, Settings};
+use stepspur_distribution::control::ControlStartError;
+use stepspur_distribution::document::DocumentFault;
+use stepspur_distribution::store::StoreFault;
+use stepspur_distribution::subscriber::SubscriberStartError;
 use stepspur_identity::keys::KeyFault;
 use stepspur_peers::Peers;
 use tokio::net::{TcpListener, TcpSocket};
@@ -36,9 +41,11 @@
 use crate::source::{self, Feed, NodeSource};
 use audit::Audit;
 use core::{Core, Inbox};
+use distribution::{Distribution, Member};
 use identity::Identity;
 use prober::ReadLoad;
 use session::Session;
+use status::Shown;
 
 pub use front::{EngineLink, Front, Listener, Shutdown};
 pub use linger::lingering_close;
@@ -64,6 +71,18 @@
     /// The council's member does not start.
     #[error("council: {0}")]
     Council(#[from] stepspur_peers::StartError),
+    /// The control member of the distribution does not start.
+    #[error("distribution.control: {0}")]
+    Control(#[from] ControlStartError),
+    /// The subscriber does not start.
+    #[error("distribution.subscriber: {0}")]
+    Subscriber(#[from] SubscriberStartError),
+    /// The subscriber's services or tenants are not sound.
+    #[error("distribution.subscriber.services: {0}")]
+    Interest(#[from] DocumentFault),
+    /// The subscriber's file is in use.
+    #[error("distribution.subscriber.state: {0}")]
+    ConfigurationStore(StoreFault),
     /// An address cannot be listened on.
     #[error("cannot listen on {address}: {cause}")]
     Listen {
@@ -95,6 +114,7 @@
     inbox: mpsc::Sender<Inbox>,
     grace: Duration,
     council: Option<Arc<Peers>>,
+    distribution: Distribution,
 }
 
 /// Time of the machine, which goes forward only: microseconds since 1970.
@@ -155,10 +175,7 @@
         let (stop, kill, tasks) = (CancellationToken::new(), CancellationToken::new(), TaskTracker::new());
         let failed = Arc::new(OnceLock::new());
         let needed = |name| Needed { name, stop: stop.clone(), failed: Arc::clone(&failed) };
-        let council = match &config.council {
-            Some(council) => Some(Arc::new(council.start(epoch).await?)),
-            None => None,
-        };
+        let member = Member::start(&config, epoch).await?;
         let identity = match &config.identity {
             None => None,
             Some(set) => {
@@ -193,19 +210,24 @@
             tenants.insert(name.clone(), start(Config { fleet, source, ..config.clone() }, feed));
         }
         let tenants = Arc::new(tenants);
+        let distribution = Distribution::start(&config, &member, &tenants, epoch).await?;
+        let council = member.into_peers();
         let asked = config.identity.as_ref().and_then(|set| set.operators);
         let mut operators = None;
         if let (Some(identity), Some(address)) = (&identity, asked) {
             let listener = listen(address, 128)?;
             operators = Some(bound(&listener, address)?);
             let (identity, tenants) = (Arc::clone(identity), Arc::clone(&tenants));
-            let desk = operator::Desk { identity, tenants, council: council.clone() };
+            let (council, distribution) = (council.clone(), distribution.view());
+            let api = operator::OperatorApi { identity, tenants, council, distribution };
             let shutdown = Shutdown { stop: stop.clone(), kill: kill.clone() };
-            let run = operator::run(listener, desk, tasks.clone(), shutdown);
+            let run = operator::run(listener, api, tasks.clone(), shutdown);
             tasks.spawn(needed("operators' listener").task(run));
         }
         if let Some(listener) = status {
-            let run = status::run(listener, inbox.clone(), council.clone(), stop.clone());
+            let shown =
+                Shown { inbox: inbox.clone(), council: council.clone(), distribution: distribution.view() };
+            let run = status::run(listener, shown, stop.clone());
             tasks.spawn(needed("status page").task(run));
         }
         let grace = config.listen.write_timeout.min(Duration::from_secs(2));
@@ -234,6 +256,7 @@
             inbox,
             grace,
             council,
+            distribution,
         })
     }
 
@@ -274,6 +297,7 @@
     /// Says goodbye on every stream, ends every task and waits for them; streams whose peer takes nothing are
     /// dropped after two seconds.
     pub async fn stop(mut self) {
+        self.distribution.stop_subscriber().await;
         self.stop.cancel();
         while self.cores.join_next().await.is_some() {}
         self.tasks.close();
@@ -284,6 +308,7 @@
                 tracing::error!(event = "left_behind", tasks = self.tasks.len());
             }
         }
+        self.distribution.stop_control().await;
         if let Some(council) = self.council.take().and_then(Arc::into_inner) {
             council.stop().await;
         }
--- a/crates/stepspur-conductor/src/service/operator.rs
+++ b/crates/stepspur-conductor/src/service/operator/mod.rs
@@ -8,8 +8,14 @@
 //! | `POST /v1/reload` | `administer` |
 //! | `GET /v1/council` | `read_status` |
 //! | `POST /v1/council/transfer`, `/add`, `/remove` with `{"member": 2}`, at the leader | `administer` |
+//! | `POST /v1/config` | `change` |
+//! | `GET /v1/config`, `GET /v1/config/versions/TERM.INDEX` | `read_status` |
+//! | `POST /v1/config/subscribers/remove` with `{"subscriber": "north-1"}` | `administer` |
 //! | `GET /v1/audit?last=100` | `administer` |
 
+mod configuration;
+mod council;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,15 +31,17 @@
 use stepspur_identity::cert::CertCaller;
 use stepspur_identity::grant::{Denied, Grant};
 use stepspur_identity::rights::Right;
-use stepspur_peers::{Change, Gone, MemberId, Peers, Refused};
+use stepspur_peers::Peers;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::task::TaskTracker;
 
 use super::audit::entry;
 use super::core::Inbox;
+use super::distribution::DistributionView;
 use super::front::Shutdown;
 use super::identity::{Identity, wall};
+use super::status::conductor_status;
 use crate::engine::Operation;
 
 /// Who has connected.
@@ -44,17 +52,18 @@
 }
 
 /// What calls are answered by.
-pub(crate) struct Desk {
+pub(crate) struct OperatorApi {
     pub identity: Arc<Identity>,
     pub tenants: Arc<BTreeMap<String, mpsc::Sender<Inbox>>>,
     pub council: Option<Arc<Peers>>,
+    pub distribution: DistributionView,
 }
 
 /// Takes calls until the conductor stops. What has been ordered by then is still written down and answered.
-pub(crate) async fn run(listener: TcpListener, desk: Desk, tasks: TaskTracker, shutdown: Shutdown) {
+pub(crate) async fn run(listener: TcpListener, api: OperatorApi, tasks: TaskTracker, shutdown: Shutdown) {
     let Shutdown { stop, kill } = shutdown;
-    let identity = Arc::clone(&desk.identity);
-    let desk = Arc::new(desk);
+    let identity = Arc::clone(&api.identity);
+    let api = Arc::new(api);
     let router = Router::new()
         .route("/v1/status", get(status))
         .route("/v1/drain", post(drain))
@@ -62,11 +71,9 @@
         .route("/v1/level", post(level))
         .route("/v1/reload", post(reload))
         .route("/v1/audit", get(audit))
-        .route("/v1/council", get(council))
-        .route("/v1/council/transfer", post(transfer))
-        .route("/v1/council/add", post(add))
-        .route("/v1/council/remove", post(remove))
-        .with_state(desk);
+        .merge(council::routes())
+        .merge(configuration::routes())
+        .with_state(api);
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
@@ -107,7 +114,7 @@
     }
 }
 
-impl Desk {
+impl OperatorApi {
     /// Who calls, if it may; the refusal tells nothing of the reason.
     fn caller(&self, seen: &Connected, headers: &HeaderMap, right: Right, what: &str) -> Result<Grant, Told> {
         let bearer = headers.get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
@@ -142,41 +149,30 @@
         self.answer(seen, grant, what, status, result).await
     }
 
-    fn member(&self) -> Result<&Peers, Told> {
-        let none = || Told(StatusCode::NOT_FOUND, "this conductor is in no council".to_owned());
-        self.council.as_deref().ok_or_else(none)
-    }
-
-    /// Answers a change of the council, which has begun with it: how it ends shows in the council's standing.
-    async fn council_changed(
+    /// Answers in words once it is written down.
+    async fn answer(
         &self,
         seen: &Connected,
         grant: &Grant,
         what: String,
-        done: Result<Result<(), Refused>, Gone>,
+        status: StatusCode,
+        result: String,
     ) -> Response {
-        let (status, result) = match done {
-            Ok(Ok(())) => (StatusCode::OK, "begun".to_owned()),
-            Ok(Err(Refused::NotLeader(leader))) => {
-                let leader = leader.map_or("nobody that it knows of".to_owned(), |m| m.0.to_string());
-                (StatusCode::CONFLICT, format!("this conductor does not lead; the leader is {leader}"))
-            }
-            Ok(Err(refused)) => (StatusCode::UNPROCESSABLE_ENTITY, refused.to_string()),
-            Err(gone) => (StatusCode::SERVICE_UNAVAILABLE, gone.to_string()),
-        };
-        self.answer(seen, grant, what, status, result).await
+        let body = serde_json::json!({ "result": result });
+        self.answer_with(seen, grant, what, &result, (status, Json(body))).await
     }
 
-    async fn answer(
+    /// Answers with this once it is written down with its result in words.
+    async fn answer_with(
         &self,
         seen: &Connected,
         grant: &Grant,
         what: String,
-        status: StatusCode,
-        result: String,
+        result: &str,
+        answer: impl IntoResponse,
     ) -> Response {
         let caller = grant.caller();
-        let line = entry(&caller.tenant, &caller.name, seen.peer, what, result.clone());
+        let line = entry(&caller.tenant, &caller.name, seen.peer, what, result.to_owned());
         tracing::info!(
             event = "operator",
             tenant = caller.tenant,
@@ -187,10 +183,15 @@
         if !self.identity.audit.change(line).await {
             return told(StatusCode::INSUFFICIENT_STORAGE, "done, and could not be written down");
         }
-        told(status, &result)
+        answer.into_response()
     }
 }
 
+/// True: the caller may see and change what is of all tenants.
+fn administers(grant: &Grant) -> bool {
+    grant.may(Right::Administer, wall()).is_ok()
+}
+
 /// An answer in words.
 struct Told(StatusCode, String);
 
@@ -208,12 +209,15 @@
     Told(StatusCode::FORBIDDEN, Denied::TOLD.to_owned())
 }
 
-type Asked = (State<Arc<Desk>>, Extension<Connected>, HeaderMap);
+type Asked = (State<Arc<OperatorApi>>, Extension<Connected>, HeaderMap);
 
-async fn status((State(desk), Extension(seen), headers): Asked) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::ReadStatus, "status")?;
-    let stats = super::stats(desk.inbox(&grant)?).await;
-    Ok(stats.map_or_else(|| StatusCode::SERVICE_UNAVAILABLE.into_response(), |s| Json(s).into_response()))
+async fn status((State(api), Extension(seen), headers): Asked) -> Result<Response, Told> {
+    let grant = api.caller(&seen, &headers, Right::ReadStatus, "status")?;
+    // It names documents of all tenants.
+    let distribution =
+        if administers(&grant) { api.distribution.clone() } else { DistributionView::default() };
+    let status = conductor_status(api.inbox(&grant)?, &distribution).await;
+    Ok(status.map_or_else(|| StatusCode::SERVICE_UNAVAILABLE.into_response(), |s| Json(s).into_response()))
 }
 
 #[derive(Debug, Deserialize)]
@@ -223,16 +227,16 @@
     on: bool,
 }
 
-async fn drain((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::Change, "drain")?;
+async fn drain((State(api), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
+    let grant = api.caller(&seen, &headers, Right::Change, "drain")?;
     let OnServer { server, on } = read(&body)?;
-    Ok(desk.change(&seen, &grant, Operation::Drain { server, on }).await)
+    Ok(api.change(&seen, &grant, Operation::Drain { server, on }).await)
 }
 
-async fn withdraw((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::Change, "withdraw")?;
+async fn withdraw((State(api), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
+    let grant = api.caller(&seen, &headers, Right::Change, "withdraw")?;
     let OnServer { server, on } = read(&body)?;
-    Ok(desk.change(&seen, &grant, Operation::Withdraw { server, on }).await)
+    Ok(api.change(&seen, &grant, Operation::Withdraw { server, on }).await)
 }
 
 #[derive(Debug, Deserialize)]
@@ -242,59 +246,22 @@
     share: f64,
 }
 
-async fn level((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::Change, "level")?;
+async fn level((State(api), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
+    let grant = api.caller(&seen, &headers, Right::Change, "level")?;
     let OnClass { class, share } = read(&body)?;
-    Ok(desk.change(&seen, &grant, Operation::Level { class, share }).await)
+    Ok(api.change(&seen, &grant, Operation::Level { class, share }).await)
 }
 
-async fn reload((State(desk), Extension(seen), headers): Asked) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::Administer, "reload")?;
-    let identity = Arc::clone(&desk.identity);
+async fn reload((State(api), Extension(seen), headers): Asked) -> Result<Response, Told> {
+    let grant = api.caller(&seen, &headers, Right::Administer, "reload")?;
+    let identity = Arc::clone(&api.identity);
     let done = tokio::task::spawn_blocking(move || identity.reload()).await;
     let (status, result) = match done {
         Ok(Ok(())) => (StatusCode::OK, "done".to_owned()),
         Ok(Err(fault)) => (StatusCode::UNPROCESSABLE_ENTITY, fault.to_string()),
         Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned()),
     };
-    Ok(desk.answer(&seen, &grant, "reload".into(), status, result).await)
-}
-
-async fn council((State(desk), Extension(seen), headers): Asked) -> Result<Response, Told> {
-    desk.caller(&seen, &headers, Right::ReadStatus, "council")?;
-    let status = desk
-        .member()?
-        .status()
-        .await
-        .map_err(|gone| Told(StatusCode::SERVICE_UNAVAILABLE, gone.to_string()))?;
-    Ok(Json(status).into_response())
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct OnMember {
-    member: u64,
-}
-
-async fn transfer((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::Administer, "council transfer")?;
-    let OnMember { member } = read(&body)?;
-    let done = desk.member()?.hand_over(MemberId(member)).await;
-    Ok(desk.council_changed(&seen, &grant, format!("council transfer {member}"), done).await)
-}
-
-async fn add((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::Administer, "council add")?;
-    let OnMember { member } = read(&body)?;
-    let done = desk.member()?.change(Change::Add(MemberId(member))).await;
-    Ok(desk.council_changed(&seen, &grant, format!("council add {member}"), done).await)
-}
-
-async fn remove((State(desk), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::Administer, "council remove")?;
-    let OnMember { member } = read(&body)?;
-    let done = desk.member()?.change(Change::Remove(MemberId(member))).await;
-    Ok(desk.council_changed(&seen, &grant, format!("council remove {member}"), done).await)
+    Ok(api.answer(&seen, &grant, "reload".into(), status, result).await)
 }
 
 #[derive(Debug, Deserialize)]
@@ -304,12 +271,12 @@
 }
 
 async fn audit(
-    (State(desk), Extension(seen), headers): Asked,
+    (State(api), Extension(seen), headers): Asked,
     Query(ask): Query<Last>,
 ) -> Result<Response, Told> {
-    let grant = desk.caller(&seen, &headers, Right::Administer, "audit")?;
+    let grant = api.caller(&seen, &headers, Right::Administer, "audit")?;
     let many = if ask.last == 0 { 100 } else { ask.last.min(1000) };
-    match desk.identity.audit.last(&grant.caller().tenant, many).await {
+    match api.identity.audit.last(&grant.caller().tenant, many).await {
         Ok(lines) => Ok(Json(lines).into_response()),
         Err(error) => Ok(told(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string())),
     }
--- a/crates/stepspur-conductor/src/service/status.rs
+++ b/crates/stepspur-conductor/src/service/status.rs
@@ -1,4 +1,5 @@
-//! The status page: `GET /v1/status`, counts as JSON, and `GET /v1/council`, how its council's member stands.
+//! The status page: `GET /v1/status`, counts as JSON; `GET /v1/council`, how its council's member stands; and
+//! `GET /v1/distribution`, how the distribution of configuration does.
 
 use std::sync::Arc;
 
@@ -6,22 +7,39 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::{Json, Router};
+use serde::Serialize;
 use stepspur_peers::Peers;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use super::core::Inbox;
+use super::distribution::{DistributionStatus, DistributionView};
 use crate::engine::Stats;
 
-pub(crate) async fn run(
-    listener: TcpListener,
-    inbox: mpsc::Sender<Inbox>,
-    council: Option<Arc<Peers>>,
-    stop: CancellationToken,
-) {
-    let member = Router::new().route("/v1/council", get(member)).with_state(council);
-    let router = Router::new().route("/v1/status", get(status)).with_state(inbox).merge(member);
+/// What the page shows.
+#[derive(Clone)]
+pub(crate) struct Shown {
+    pub inbox: mpsc::Sender<Inbox>,
+    pub council: Option<Arc<Peers>>,
+    pub distribution: DistributionView,
+}
+
+/// A conductor's counts, and its distribution where it has one.
+#[derive(Debug, Serialize)]
+pub(crate) struct ConductorStatus {
+    #[serde(flatten)]
+    counts: Stats,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    distribution: Option<DistributionStatus>,
+}
+
+pub(crate) async fn run(listener: TcpListener, shown: Shown, stop: CancellationToken) {
+    let router = Router::new()
+        .route("/v1/status", get(status))
+        .route("/v1/council", get(member))
+        .route("/v1/distribution", get(distribution))
+        .with_state(shown);
     let serve = axum::serve(listener, router).with_graceful_shutdown(stop.clone().cancelled_owned());
     tokio::select! {
         _ = serve => {}
@@ -29,13 +47,25 @@
     }
 }
 
-async fn status(State(inbox): State<mpsc::Sender<Inbox>>) -> Result<Json<Stats>, StatusCode> {
-    super::stats(&inbox).await.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
+/// The counts of an engine and the conductor's distribution; none once the conductor has ended.
+pub(crate) async fn conductor_status(
+    inbox: &mpsc::Sender<Inbox>,
+    distribution: &DistributionView,
+) -> Option<ConductorStatus> {
+    let counts = super::stats(inbox).await?;
+    Some(ConductorStatus { counts, distribution: distribution.status() })
 }
 
-async fn member(
-    State(council): State<Option<Arc<Peers>>>,
-) -> Result<Json<stepspur_peers::Status>, StatusCode> {
-    let council = council.ok_or(StatusCode::NOT_FOUND)?;
+async fn status(State(shown): State<Shown>) -> Result<Json<ConductorStatus>, StatusCode> {
+    let status = conductor_status(&shown.inbox, &shown.distribution).await;
+    status.map(Json).ok_or(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+async fn member(State(shown): State<Shown>) -> Result<Json<stepspur_peers::Status>, StatusCode> {
+    let council = shown.council.ok_or(StatusCode::NOT_FOUND)?;
     council.status().await.map(Json).map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
 }
+
+async fn distribution(State(shown): State<Shown>) -> Result<Json<DistributionStatus>, StatusCode> {
+    shown.distribution.status().map(Json).ok_or(StatusCode::NOT_FOUND)
+}
