Tell the last known leader while none is known, and test what no test held

Cause: a control member whose council was out of reach for a moment told nobody anything, so that all its subscribers counted as missing.

Change: the reporter goes on with the last known leader. A failed registration waits 2 s. The status counts the detached. Tests for each of the above, for a killed leader, for a lead handed over and for one that is not registered as it is.

--- a/crates/stepspur-distribution/src/control/mod.rs
+++ b/crates/stepspur-distribution/src/control/mod.rs
@@ -37,7 +37,7 @@
 use self::collector::Collector;
 pub use self::messages::{DELTA_BYTES_MOST, PART_BYTES_MOST};
 pub use self::propose::ProposeError;
-use self::registry::Registry;
+use self::registry::{Counts, Registry};
 pub use self::reporter::SUMMARY_EVERY;
 pub use self::settings::{ControlMember, ControlSettings, ControlStartError, KEEP_ALIVE};
 pub use self::standing::{MISSING_MOST, Missing, SUMMARY_FRESH, Standing, StandingError};
@@ -95,7 +95,9 @@
     pub attached: usize,
     /// Of them, those that have not in force what concerns them.
     pub behind: usize,
-    /// Of them, those that wait for the rest of a snapshot.
+    /// Registered subscribers that were attached here last, as far as this member knows, and are not any more.
+    pub detached: usize,
+    /// Attached subscribers that wait for the rest of a snapshot.
     pub snapshots_waiting: usize,
     /// Bytes written to subscribers since the start.
     pub bytes_written: u64,
@@ -183,7 +185,7 @@
     /// How this member stands.
     pub fn status(&self) -> ControlStatus {
         let member = &self.member;
-        let (attached, behind) = member.registry.counts();
+        let Counts { attached, behind, detached } = member.registry.counts();
         let book = |book: &ConfigurationBook| (book.head(), book.oldest(), book.len(), book.registered());
         let (head, oldest, documents, registered) = member.registry.look(book);
         let leader = Some(member.leader.load(Ordering::Relaxed)).filter(|leader| *leader != 0);
@@ -197,6 +199,7 @@
             registered,
             attached,
             behind,
+            detached,
             snapshots_waiting: member.admission.waiting(),
             bytes_written: member.bytes_written.load(Ordering::Relaxed),
         }
--- a/crates/stepspur-distribution/src/control/registration.rs
+++ b/crates/stepspur-distribution/src/control/registration.rs
@@ -13,6 +13,8 @@
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// An agreement may take so long; it is proposed anew after.
 const WITHIN: Duration = Duration::from_secs(3);
+/// After a proposal that failed none is made for so long: a refusal costs an entry of the log, too.
+const AFTER_FAILURE: Duration = Duration::from_secs(2);
 
 /// Registers until stopped.
 pub(crate) async fn run(member: Arc<Member>, stop: CancellationToken) {
@@ -34,6 +36,7 @@
         };
         if let Err(cause) = agreed {
             tracing::warn!(event = "config_subscribers_not_registered", count, %cause);
+            looks.reset_after(AFTER_FAILURE);
         }
     }
 }
--- a/crates/stepspur-distribution/src/control/registry.rs
+++ b/crates/stepspur-distribution/src/control/registry.rs
@@ -142,6 +142,17 @@
     pub(crate) places: BTreeMap<String, Place>,
 }
 
+/// How many subscribers stand how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Counts {
+    /// Attached.
+    pub(crate) attached: usize,
+    /// Of them, those that have not in force what concerns them.
+    pub(crate) behind: usize,
+    /// Known to be attached no more.
+    pub(crate) detached: usize,
+}
+
 /// What a newcomer tells.
 #[derive(Debug)]
 pub(crate) struct Newcomer {
@@ -293,11 +304,11 @@
         })
     }
 
-    /// How many are attached, and how many of them are behind what concerns them.
-    pub(crate) fn counts(&self) -> (usize, usize) {
+    /// How many stand how.
+    pub(crate) fn counts(&self) -> Counts {
         let inner = self.inner();
         let behind = inner.attached.values().filter(|one| one.progress().is_behind()).count();
-        (inner.attached.len(), behind)
+        Counts { attached: inner.attached.len(), behind, detached: inner.detached.len() }
     }
 }
 
--- a/crates/stepspur-distribution/src/control/reporter.rs
+++ b/crates/stepspur-distribution/src/control/reporter.rs
@@ -59,7 +59,8 @@
 async fn turn(member: &Member, report: Option<Report>) -> Option<Report> {
     let leader = leader_of(member).await;
     member.leader.store(leader.unwrap_or_default(), Ordering::Relaxed);
-    let leader = leader?;
+    // While no leader is known, the last one is told further: it may lead still, and others ask nobody else.
+    let leader = leader.or(report.as_ref().map(|report| report.leader))?;
     let known = report.filter(|report| report.leader == leader);
     let told = async {
         let mut report = match known {
--- a/crates/stepspur-distribution/tests/control/admission.rs
+++ b/crates/stepspur-distribution/tests/control/admission.rs
@@ -10,7 +10,8 @@
 use crate::support::{KEEP_ALIVE, Rig, Shape, first, level};
 
 /// A part every second.
-const PACE: Shape = Shape { members: 1, snapshot_bytes_per_s: PART_BYTES_MOST as u32, subscribers_max: 100 };
+const PACE: Shape =
+    Shape { voters: 1, members: 1, snapshot_bytes_per_s: PART_BYTES_MOST as u32, subscribers_max: 100 };
 
 #[tokio::test(start_paused = true)]
 async fn parts_come_at_the_pace_while_a_delta_to_another_passes_at_once() {
--- a/crates/stepspur-distribution/tests/control/sessions.rs
+++ b/crates/stepspur-distribution/tests/control/sessions.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use stepspur_distribution::book::{CHANGES_MOST, RECENT_MOST};
-use stepspur_distribution::document::{Change, Document, NAME_MOST};
+use stepspur_distribution::control::DELTA_BYTES_MOST;
+use stepspur_distribution::document::{Change, Document, NAME_MOST, Scope};
 use stepspur_distribution::version::Version;
 use stepspur_proto::{from_control, from_subscriber, v1};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::support::{KEEP_ALIVE, PATIENCE, QUIET, Rig, Shape, Subscriber, first, level};
 
@@ -27,6 +28,8 @@
         assert_eq!(shop.delta().await, (head, version, vec![document(&change, version)]));
     }
     assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+    // The shop's are behind until they acknowledge; it is nothing to the mail's.
+    assert_eq!(rig.control(1).status().behind, 1);
     // The others are covered by keep-alives alone, and the next delta begins where these left them.
     assert_eq!(tokio::join!(mail_1.quiet(QUIET), mail_2.quiet(QUIET)), (version, version));
     let change = level("mail", "bulk", 9);
@@ -101,14 +104,70 @@
 async fn one_that_takes_no_frame_in_time_is_detached() {
     let rig = Rig::start(Shape::default()).await;
     let head = rig.control(1).status().head;
-    let slow = rig.attach(1, first("slow", "shop", head)).await;
+    let mut slow = rig.attach(1, first("slow", "shop", head)).await;
     let long = "x".repeat(NAME_MOST - 2);
+    let began = Instant::now();
     for round in 0..6 {
         let class = |n: usize| level("shop", &format!("{n:02}{long}"), round);
         rig.change((0..CHANGES_MOST).map(class).collect()).await;
     }
-    crate::support::until("it is detached", || rig.control(1).status().attached == 0).await;
-    drop(slow);
+    // It is not silent meanwhile.
+    while rig.control(1).status().attached == 1 && began.elapsed() < PATIENCE {
+        slow.keep_alive().await;
+        sleep(KEEP_ALIVE / 4).await;
+    }
+    let limit = Duration::from_secs(10)..Duration::from_secs(12);
+    assert!(limit.contains(&began.elapsed()), "{:?}", began.elapsed());
+}
+
+/// A delta begins where the subscriber was told that it is covered to, whatever was looked at since.
+#[tokio::test(start_paused = true)]
+async fn a_delta_begins_at_what_the_subscriber_holds() {
+    let rig = Rig::start(Shape::default()).await;
+    let held = rig.control(1).status().head;
+    rig.change(vec![level("mail", "bulk", 7)]).await;
+    let mut subscriber = rig.attach(1, first("a", "shop", held)).await;
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    let (from, to, _) = subscriber.delta().await;
+    assert_eq!((from, to), (held, version));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_more_than_a_delta_holds_comes_as_several_each_from_where_the_last_ended() {
+    let rig = Rig::start(Shape::default()).await;
+    let held = rig.control(1).status().head;
+    let (long, mut head) = ("x".repeat(NAME_MOST - 4), held);
+    for n in 0..20 {
+        let class = |m: usize| level("shop", &format!("{n:02}{m:02}{long}"), 1);
+        head = rig.change((0..CHANGES_MOST).map(class).collect()).await;
+    }
+    let mut subscriber = rig.attach(1, first("a", "shop", held)).await;
+    let (mut at, mut frames, mut count) = (held, 0, 0);
+    while at < head {
+        let (from, to, documents) = subscriber.delta().await;
+        assert_eq!(from, at);
+        assert!(documents.len() * NAME_MOST <= DELTA_BYTES_MOST, "{} documents", documents.len());
+        (at, frames, count) = (to, frames + 1, count + documents.len());
+    }
+    assert_eq!((at, count), (head, 20 * CHANGES_MOST));
+    assert!(frames > 3, "{frames}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_for_another_region_or_tenant_is_nothing_to_a_subscriber_of_the_service() {
+    let rig = Rig::start(Shape::default()).await;
+    let head = rig.control(1).status().head;
+    let mut subscriber = rig.attach(1, first("a", "shop", head)).await;
+    let [mut elsewhere, mut other] = [level("shop", "bulk", 7), level("shop", "bulk", 8)];
+    elsewhere.scope.region = Some("south".to_owned());
+    other.scope.tenant = Some("another".to_owned());
+    let version = rig.change(vec![elsewhere, other]).await;
+    assert_eq!(subscriber.quiet(QUIET).await, version);
+    assert_eq!(rig.control(1).status().behind, 0);
+    let everyone = Change { scope: Scope::default(), ..level("", "bulk", 9) };
+    let version = rig.change(vec![everyone]).await;
+    assert_eq!(subscriber.delta().await.1, version);
+    assert_eq!(rig.control(1).status().behind, 1);
 }
 
 #[tokio::test(start_paused = true)]
@@ -215,11 +274,13 @@
     let head = rig.control(1).status().head;
     let beyond = Version { term: head.term, index: head.index + 1 };
     let mut one = rig.attach(1, first("a", "shop", head)).await;
+    let began = Instant::now();
     one.acknowledge(beyond).await;
     one.closes().await;
     let mut other = rig.attach(1, first("b", "shop", head)).await;
     other.send(from_subscriber::Kind::Subscribe(first("b", "shop", head))).await;
     other.closes().await;
+    assert!(began.elapsed() < KEEP_ALIVE, "at once, not by its silence: {:?}", began.elapsed());
 }
 
 #[tokio::test(start_paused = true)]
@@ -251,7 +312,6 @@
     let mut rig = Rig::start(Shape::default()).await;
     let head = rig.control(1).status().head;
     let mut attached = rig.attach(1, first("a", "shop", head)).await;
-    let control = rig.controls.remove(&1).unwrap();
-    timeout(PATIENCE, control.stop()).await.unwrap();
+    rig.end(1).await;
     attached.closes().await;
 }
--- a/crates/stepspur-distribution/tests/control/standings.rs
+++ b/crates/stepspur-distribution/tests/control/standings.rs
@@ -3,15 +3,15 @@
 use std::time::Duration;
 
 use stepspur_council::MemberId;
-use stepspur_distribution::control::{Standing, StandingError};
+use stepspur_distribution::control::{SUMMARY_FRESH, Standing, StandingError};
 use stepspur_distribution::version::Version;
 use stepspur_proto::v1;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::support::{PATIENCE, Rig, Shape, Subscriber, first, level};
+use crate::support::{PATIENCE, Rig, Shape, Subscriber, first, level, until};
 
 const WITHIN: Duration = Duration::from_secs(10);
-const THREE: Shape = Shape { members: 3, snapshot_bytes_per_s: 1 << 20, subscribers_max: 100 };
+const THREE: Shape = Shape { voters: 1, members: 3, snapshot_bytes_per_s: 1 << 20, subscribers_max: 100 };
 
 /// A subscriber that acknowledges all it is sent, until it is told to stop.
 struct Obedient {
@@ -46,6 +46,14 @@
     subscribers
 }
 
+/// Its links of the council are silent from now on; those to control addresses are not.
+fn cut_off(rig: &Rig, id: u64) {
+    for other in rig.controls.keys().filter(|other| **other != id) {
+        rig.wire.silence(MemberId(id), MemberId(*other), true);
+        rig.wire.silence(MemberId(*other), MemberId(id), true);
+    }
+}
+
 fn names(standing: &Standing) -> Vec<&str> {
     standing.missing.iter().map(|missing| missing.name.as_str()).collect()
 }
@@ -108,10 +116,12 @@
     sleep(Duration::from_secs(5)).await;
     let later = rig.standing(version, wanted).await.missing[0].since_s;
     assert!((4.9..5.5).contains(&(later - before)), "{before} {later}");
+    assert_eq!(rig.control(2).status().detached, 1);
     assert!(rig.control(2).remove("at 2", WITHIN).await.unwrap());
     assert!(!rig.control(2).remove("at 2", WITHIN).await.unwrap());
     let told = rig.standing(version, |told| told.everywhere).await;
     assert_eq!((told.expected, told.in_force), (1, 1));
+    until("it is forgotten", || rig.control(2).status().detached == 0).await;
     here.end();
 }
 
@@ -138,8 +148,7 @@
     let served: Vec<_> = subscribers.into_iter().map(Obedient::serve).collect();
     let version = rig.change(vec![level("shop", "bulk", 7)]).await;
     rig.standing(version, |told| told.everywhere).await;
-    let stopped = rig.controls.remove(&2).unwrap();
-    timeout(PATIENCE, stopped.stop()).await.unwrap();
+    rig.end(2).await;
     let told = rig.standing(version, |told| !told.everywhere).await;
     assert_eq!(names(&told), ["at 2"]);
     let wanted = |told: &Standing| told.missing[0].reason == "control member 2 does not report";
@@ -151,23 +160,91 @@
 #[tokio::test(start_paused = true)]
 async fn a_control_member_that_has_not_the_version_proves_nothing() {
     let rig = Rig::start(THREE).await;
-    let subscribers = attached(&rig, &[2]).await;
+    let served: Vec<_> = attached(&rig, &[2]).await.into_iter().map(Obedient::serve).collect();
     let held = rig.control(1).status().head;
-    // Its links of the council are silent, and those to the leader's control address are not.
-    let member = |id| MemberId(id);
-    for other in [1, 3] {
-        rig.wire.silence(member(2), member(other), true);
-        rig.wire.silence(member(other), member(2), true);
-    }
+    cut_off(&rig, 2);
     let version = rig.change(vec![level("shop", "bulk", 7)]).await;
-    let told = rig.standing(version, |told| told.missing.len() == 1).await;
+    // Long after what it told before has become stale, too.
+    sleep(SUMMARY_FRESH * 3).await;
+    let wanted = |told: &Standing| told.missing[0].reason == "control member 2 is not at this version";
+    let told = rig.standing(version, wanted).await;
     assert_eq!((told.expected, names(&told)), (1, vec!["at 2"]));
-    assert_eq!(rig.control(2).status().head, held);
-    for _ in 0..30 {
-        assert!(!rig.standing(version, |_| true).await.everywhere);
-        sleep(Duration::from_millis(200)).await;
-    }
-    drop(subscribers);
+    assert_eq!((told.missing[0].in_force, rig.control(2).status().head), (held, held));
+    served.into_iter().for_each(Obedient::end);
+}
+
+/// Its interest is another than the one that is registered, and its member cannot have the new one agreed on.
+#[tokio::test(start_paused = true)]
+async fn one_that_is_attached_and_not_registered_as_it_is_counts_as_behind_everything() {
+    let rig = Rig::start(THREE).await;
+    let mut subscribers = attached(&rig, &[1]).await;
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    assert_eq!(subscribers[0].delta().await.1, version);
+    subscribers[0].acknowledge(version).await;
+    rig.standing(version, |told| told.everywhere).await;
+    rig.reaches(2, version).await;
+    cut_off(&rig, 2);
+    let mut other = first("at 1", "mail", version);
+    other.services.extend(first("at 1", "shop", version).services);
+    subscribers.push(rig.attach(2, other).await);
+    let wanted = |told: &Standing| told.in_force == 0;
+    let told = rig.standing(version, wanted).await;
+    assert_eq!(told.missing[0].reason, "attached, not registered yet");
+    assert_eq!(told.missing[0].in_force, Version::NONE);
+}
+
+/// The new leader knows nothing until all have told it all.
+#[tokio::test(start_paused = true)]
+async fn another_leader_answers_once_the_leader_is_gone() {
+    let mut rig = Rig::start(Shape { voters: 3, members: 4, ..THREE }).await;
+    let subscribers = attached(&rig, &[4]).await;
+    let served: Vec<_> = subscribers.into_iter().map(Obedient::serve).collect();
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    rig.standing(version, |told| told.everywhere).await;
+    let gone = rig.leader().await;
+    rig.end(gone).await;
+    let told = rig.standing(version, |told| told.everywhere).await;
+    assert_eq!((told.expected, told.in_force), (1, 1));
+    assert_ne!(rig.leader().await, gone);
+    let next = rig.change(vec![level("shop", "bulk", 8)]).await;
+    rig.standing(next, |told| told.everywhere).await;
+    served.into_iter().for_each(Obedient::end);
+}
+
+/// The old leader and its connections live on, and answer and take nothing more.
+#[tokio::test(start_paused = true)]
+async fn after_the_lead_was_handed_over_all_tell_the_new_leader() {
+    let rig = Rig::start(Shape { voters: 3, members: 4, ..THREE }).await;
+    let subscribers = attached(&rig, &[1, 2, 3, 4]).await;
+    let served: Vec<_> = subscribers.into_iter().map(Obedient::serve).collect();
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    rig.standing(version, |told| told.everywhere).await;
+    let from = rig.leader().await;
+    let to = (1..=3).find(|id| *id != from).unwrap();
+    rig.hand_over(from, to).await;
+    let next = rig.change(vec![level("shop", "bulk", 8)]).await;
+    let told = rig.standing(next, |told| told.everywhere).await;
+    assert_eq!((told.expected, rig.leader().await), (4, to));
+    assert_eq!(rig.control(from).standing(next).await, Err(StandingError::NotLeader { leader: Some(to) }));
+    served.into_iter().for_each(Obedient::end);
+}
+
+/// Its disk was put back: what it acknowledged before counts no more.
+#[tokio::test(start_paused = true)]
+async fn one_that_comes_back_with_less_is_behind_until_it_acknowledges_again() {
+    let rig = Rig::start(THREE).await;
+    let mut subscribers = attached(&rig, &[1]).await;
+    let held = rig.control(1).status().head;
+    let version = rig.change(vec![level("shop", "bulk", 7)]).await;
+    assert_eq!(subscribers[0].delta().await.1, version);
+    subscribers[0].acknowledge(version).await;
+    rig.standing(version, |told| told.everywhere).await;
+    let mut back = rig.attach(1, first("at 1", "shop", held)).await;
+    let told = rig.standing(version, |told| told.in_force == 0).await;
+    assert_eq!((names(&told), told.missing[0].in_force), (vec!["at 1"], held));
+    assert_eq!(back.delta().await.1, version);
+    back.acknowledge(version).await;
+    rig.standing(version, |told| told.everywhere).await;
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/stepspur-distribution/tests/control/support.rs
+++ b/crates/stepspur-distribution/tests/control/support.rs
@@ -68,17 +68,19 @@
     }
 }
 
-/// One voter, member 1, and further members that follow it; each is a control member.
+/// Members of a council, the first ones with a vote; each is a control member.
 pub struct Rig {
     pub pipes: Pipes,
     pub wire: Wire,
     pub controls: BTreeMap<u64, Control>,
+    shared: BTreeMap<u64, Shared>,
     shape: Shape,
 }
 
 /// How a rig begins.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
+    pub voters: u64,
     pub members: u64,
     pub snapshot_bytes_per_s: u32,
     pub subscribers_max: u32,
@@ -86,7 +88,7 @@
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { members: 1, snapshot_bytes_per_s: 1 << 20, subscribers_max: 100 }
+        Self { voters: 1, members: 1, snapshot_bytes_per_s: 1 << 20, subscribers_max: 100 }
     }
 }
 
@@ -94,12 +96,12 @@
     SocketAddr::from(([127, 0, 0, 1], 20_000 + id as u16))
 }
 
-async fn shared(wire: &Wire, id: u64, members: u64) -> Shared {
+async fn shared(wire: &Wire, id: u64, shape: Shape) -> Shared {
     let member = MemberId(id);
     let settings = Settings {
         id: member,
         listen: Wire::address(member),
-        peers: (1..=members).map(MemberId).map(|id| (id, Wire::address(id))).collect(),
+        peers: (1..=shape.members).map(MemberId).map(|id| (id, Wire::address(id))).collect(),
         council: stepspur_council::Settings::default(),
         wants: Vec::new(),
         weight: 1.0,
@@ -107,8 +109,9 @@
         largest_frame: 16 << 20,
     };
     let books = Books::new([Box::new(ConfigurationBook::default()) as Box<dyn Book>]);
-    let voters = BTreeSet::from([MemberId(1)]);
-    let disk = (id == 1).then(|| Image::new(member, Core::founding(voters), Duration::from_millis(2)).open());
+    let voters: BTreeSet<_> = (1..=shape.voters).map(MemberId).collect();
+    let disk = (id <= shape.voters)
+        .then(|| Image::new(member, Core::founding(voters), Duration::from_millis(2)).open());
     let peers = Peers::start_on(wire.of(member), settings, disk, id, books.clone()).await.unwrap();
     Shared::new(Arc::new(peers), books, Limits::default(), id)
 }
@@ -116,7 +119,7 @@
 impl Rig {
     pub async fn start(shape: Shape) -> Self {
         let (pipes, wire) = (Pipes::default(), Wire::default());
-        let mut rig = Self { pipes, wire, controls: BTreeMap::new(), shape };
+        let mut rig = Self { pipes, wire, controls: BTreeMap::new(), shared: BTreeMap::new(), shape };
         for id in 1..=shape.members {
             rig.begin(id).await;
         }
@@ -138,17 +141,43 @@
             subscribers_max: shape.subscribers_max,
             keep_alive: KEEP_ALIVE,
         };
-        let shared = shared(&self.wire, id, shape.members).await;
+        let shared = shared(&self.wire, id, shape).await;
+        self.shared.insert(id, shared.clone());
         let control = Control::start(settings, shared, Arc::new(self.pipes.clone())).await.unwrap();
         self.controls.insert(id, control);
     }
 
+    /// Ends a member, its part in the council as well.
+    pub async fn end(&mut self, id: u64) {
+        self.shared.remove(&id);
+        let control = self.controls.remove(&id).unwrap();
+        timeout(PATIENCE, control.stop()).await.unwrap();
+    }
+
+    /// The leader hands the lead over, and lives on.
+    pub async fn hand_over(&self, from: u64, to: u64) {
+        let waits = Instant::now() + PATIENCE;
+        while self.shared[&from].peers().hand_over(MemberId(to)).await.unwrap().is_err() {
+            assert!(Instant::now() < waits, "it hands nothing over");
+            sleep(Duration::from_millis(100)).await;
+        }
+        until("the lead is handed over", || self.control(to).status().leads).await;
+    }
+
+    /// The member that leads, once one of those that run does.
+    pub async fn leader(&self) -> u64 {
+        let leads = || self.controls.iter().find(|(_, control)| control.status().leads).map(|(id, _)| *id);
+        until("a leader that runs", || leads().is_some()).await;
+        leads().unwrap()
+    }
+
     pub fn control(&self, id: u64) -> &Control {
         &self.controls[&id]
     }
 
     pub async fn change(&self, changes: Vec<Change>) -> Version {
-        self.control(1).propose(None, changes, WITHIN).await.unwrap()
+        let any = self.controls.values().next().unwrap();
+        any.propose(None, changes, WITHIN).await.unwrap()
     }
 
     /// Waits until a member has this version.
@@ -159,14 +188,15 @@
 
     /// Waits until so many are registered.
     pub async fn registered(&self, count: usize) {
-        until("they are registered", || self.control(1).status().registered == count).await;
+        let all = || self.controls.values().all(|control| control.status().registered == count);
+        until("they are registered", all).await;
     }
 
     /// Waits for an answer of the leader that is as it should be.
     pub async fn standing(&self, version: Version, wanted: impl Fn(&Standing) -> bool) -> Standing {
         let waits = Instant::now() + PATIENCE;
         loop {
-            let told = self.control(1).standing(version).await;
+            let told = self.control(self.leader().await).standing(version).await;
             if let Some(standing) = told.as_ref().ok().filter(|standing| wanted(standing)) {
                 return standing.clone();
             }
