Test holds that change, and unknown outcomes that are proposed again, by processes

Both were wired and only tested in parts. A server that drains, is withdrawn and lifted is used again by the proxy's own stream, and an operation that found no quorum gives one version however often, and wherever, it is proposed again.

--- a/crates/stepspur-cli/tests/common/distribution.rs
+++ b/crates/stepspur-cli/tests/common/distribution.rs
@@ -1,5 +1,6 @@
 //! Control members and subscribers as processes, a proxy's stream, and an operator's calls; every wait is bounded.
 
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -275,9 +276,53 @@
     String::from_utf8(output.stdout).unwrap()
 }
 
-/// A proxy's stream: it answers marks and pings, and shows the share of each class that it was ordered.
+/// What a proxy was ordered.
+#[derive(Clone, Debug, Default)]
+struct Ordered {
+    /// The share of each class that is let in.
+    shares: [f32; 2],
+    /// Ports of the servers of its table that get requests.
+    used: BTreeSet<u32>,
+    /// Ports of those that it must keep from.
+    withdrawn: BTreeSet<u32>,
+}
+
+impl Ordered {
+    fn take(&mut self, order: &v1::Order) {
+        if let Some(table) = &order.table {
+            *self = Self { shares: [1.0; 2], ..Self::default() };
+            self.change(&table.lines, &table.levels, &table.withdrawals);
+        }
+        self.change(&order.lines, &order.levels, &order.withdrawals);
+    }
+
+    fn change(&mut self, lines: &[v1::Line], levels: &[v1::Level], withdrawals: &[v1::Withdrawal]) {
+        for line in lines {
+            put(&mut self.used, &line.server, line.weight > 0.0);
+        }
+        for level in levels {
+            if let Some(v1::level::Admit::Share(share)) = level.admit {
+                self.shares[level.class as usize] = share;
+            }
+        }
+        for withdrawal in withdrawals {
+            put(&mut self.withdrawn, &withdrawal.server, withdrawal.out);
+        }
+    }
+}
+
+fn put(ports: &mut BTreeSet<u32>, server: &Option<v1::Server>, is_in: bool) {
+    let port = server.as_ref().expect("a server").port;
+    if is_in {
+        ports.insert(port)
+    } else {
+        ports.remove(&port)
+    };
+}
+
+/// A proxy's stream: it answers marks and pings, and shows what it was ordered.
 pub struct Proxy {
-    shares: watch::Receiver<[f32; 2]>,
+    ordered: watch::Receiver<Ordered>,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -293,37 +338,44 @@
             ..Default::default()
         };
         frames.send(FromProxy::new(0, 0, from_proxy::Kind::Hello(hello))).await.unwrap();
-        let (show, shares) = watch::channel([1.0; 2]);
+        let (show, ordered) = watch::channel(Ordered::default());
         let task = AbortOnDropHandle::new(tokio::spawn(follow(frames, show)));
-        Self { shares, _task: task }
+        Self { ordered, _task: task }
     }
 
     /// The share of a class that holds now.
     pub fn share(&self, class: usize) -> f32 {
-        self.shares.borrow()[class]
+        self.ordered.borrow().shares[class]
     }
 
     /// Waits until a class has this share.
     pub async fn until_share(&mut self, class: usize, share: f32) {
-        let ordered = timeout(PATIENCE, self.shares.wait_for(|shares| shares[class] == share)).await;
-        let ordered = ordered.unwrap_or_else(|_| panic!("class {class} was never ordered {share}"));
-        ordered.expect("the stream stands");
+        self.until(&format!("class {class} at {share}"), |ordered| ordered.shares[class] == share).await;
+    }
+
+    /// Waits until it sends to the server of this port, or keeps from it.
+    pub async fn until_used(&mut self, port: u32, used: bool) {
+        let wanted = |ordered: &Ordered| {
+            !ordered.used.is_empty()
+                && used == (ordered.used.contains(&port) && !ordered.withdrawn.contains(&port))
+        };
+        self.until(&format!("server {port} used: {used}"), wanted).await;
+    }
+
+    async fn until(&mut self, what: &str, wanted: impl FnMut(&Ordered) -> bool) {
+        let ordered = timeout(PATIENCE, self.ordered.wait_for(wanted)).await.map(|ordered| ordered.is_ok());
+        assert_eq!(ordered, Ok(true), "never ordered: {what}; {:?}", self.ordered.borrow());
     }
 }
 
 async fn follow(
     mut frames: Framed<TcpStream, Frames<FromConductor, FromProxy>>,
-    show: watch::Sender<[f32; 2]>,
+    show: watch::Sender<Ordered>,
 ) {
     while let Some(Ok(frame)) = frames.next().await {
         let answer = match frame.kind {
             Some(from_conductor::Kind::Order(order)) => {
-                let whole = order.table.iter().flat_map(|table| &table.levels);
-                for level in whole.chain(&order.levels) {
-                    if let Some(v1::level::Admit::Share(share)) = level.admit {
-                        show.send_modify(|shares| shares[level.class as usize] = share);
-                    }
-                }
+                show.send_modify(|ordered| ordered.take(&order));
                 order.mark.map(|mark| from_proxy::Kind::Applied(v1::Applied { mark, took_us: 0 }))
             }
             Some(from_conductor::Kind::Ping(ping)) => {
--- a/crates/stepspur-cli/tests/distribution.rs
+++ b/crates/stepspur-cli/tests/distribution.rs
@@ -173,6 +173,58 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_hold_that_changes_is_lifted_whole() {
+    let fleet = Fleet::new(1);
+    let token = fleet.token("default", &["change", "read_status", "administer"]);
+    let _control = control_members(&fleet);
+    let one = Process::start(&fleet.subscriber_config("one"));
+    let mut proxy = Proxy::join(one.listening, "p").await;
+    proxy.until_used(9001, true).await;
+    for (setting, used) in [(json!("draining"), false), (json!("withdrawn"), false), (Value::Null, true)] {
+        let target = json!({ "server": "127.0.0.1:9001" });
+        let version = propose(&fleet, 1, &token, &[json!({ "target": target, "setting": setting })]).await;
+        until_everywhere(&fleet, &token, &version).await;
+        proxy.until_used(9001, used).await;
+    }
+    let (_, left) = fleet.call(1, &token, "GET /v1/config", "").await;
+    assert_eq!(left["documents"], json!([]));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unknown_outcome_is_proposed_again_under_its_operation_and_takes_effect_once() {
+    let fleet = Fleet::new(3);
+    let token = fleet.token("default", &["change", "read_status", "administer"]);
+    let mut control = control_members(&fleet);
+    let first = propose(&fleet, 1, &token, &[level("read", Some(500_000))]).await;
+    // Without a quorum nothing is agreed on.
+    control[1] = None;
+    control[2] = None;
+    let mut body = json!({ "changes": [level("read", Some(250_000))] });
+    let (code, told) = fleet.call(1, &token, "POST /v1/config", &body.to_string()).await;
+    assert!(code == 503 && told["operation"].is_string(), "{code} {told}");
+    assert!(fleet.audit(1).contains("is unknown"), "written down as well");
+    body["operation"] = told["operation"].clone();
+    // It is proposed again, at another member too, once there is one: each time the same version.
+    control[1] = Some(Process::start(&fleet.control_config(2)));
+    let mut versions = Vec::new();
+    for id in [1, 2, 1] {
+        let again = until(
+            "a version",
+            async || fleet.call(id, &token, "POST /v1/config", &body.to_string()).await.1,
+            |told| told["version"].is_string(),
+        );
+        versions.push(again.await["version"].clone());
+    }
+    assert!(
+        versions.iter().all(|version| *version == versions[0] && *version != json!(first)),
+        "{versions:?}"
+    );
+    // An operation that was never given is no number of somebody else's.
+    body["operation"] = json!("m-1-0-0");
+    assert_eq!(fleet.call(1, &token, "POST /v1/config", &body.to_string()).await.0, 400);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_torn_file_is_left_as_it_is_and_the_conductor_goes_on() {
     let fleet = Fleet::new(1);
