Split the council's member in service into modules with one job each

Change, without a change of behaviour: `transport.rs` (`Transport`, `Listener`), `tcp.rs`, `storage.rs` (`Storage`, `SaveQueue`), `listener.rs` (accepts and reads peers; refusals are a typed error), `link.rs` (a link with its outbox), `task.rs` (the member's task), `handle.rs` (`Peers`), `settings.rs`, `events.rs`.

--- a/crates/stepspur-peers/src/config.rs
+++ b/crates/stepspur-peers/src/config.rs
@@ -11,8 +11,10 @@
 use stepspur_council::{Core, MemberId, State, Stored};
 use stepspur_state::{Fault, Store};
 
-use crate::ground::{Disk, Tcp};
-use crate::service::{Peers, Settings, StartError};
+use crate::handle::Peers;
+use crate::settings::{Settings, StartError};
+use crate::storage::Storage;
+use crate::tcp::Tcp;
 
 /// A council of conductors, and this one's place in it.
 #[derive(Clone, Debug, Deserialize, Serialize, Validate)]
@@ -168,7 +170,7 @@
         let opened: Result<Result<(Store, Stored), Fault>, _> =
             tokio::task::spawn_blocking(move || Store::open(&path)).await;
         let disk = match opened {
-            Ok(Ok((store, stored))) => Some((Box::new(store) as Box<dyn Disk>, stored)),
+            Ok(Ok((store, stored))) => Some((Box::new(store) as Box<dyn Storage>, stored)),
             Ok(Err(cause)) => {
                 tracing::error!(event = "council_without_state", member = %MemberId(self.id), %cause);
                 None
--- a/crates/stepspur-peers/src/link.rs
+++ b/crates/stepspur-peers/src/link.rs
@@ -1,8 +1,8 @@
-//! The link to one peer: what waits for it, and the task that writes it.
+//! The link to one peer: the messages that wait for it, and the task that writes them.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures_util::SinkExt;
@@ -13,26 +13,26 @@
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
-use crate::ground::Net;
+use crate::transport::Transport;
 
 /// Messages that wait for a peer at most. Beyond that the oldest goes: what they told is told again, and newer.
-const WAITING: usize = 256;
+const MESSAGES_MAX: usize = 256;
 /// Spans before a peer is dialled again: the first, doubling to the longest.
-const AGAIN: Duration = Duration::from_millis(50);
-const AGAIN_MOST: Duration = Duration::from_secs(1);
+const BACKOFF_FIRST: Duration = Duration::from_millis(50);
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
 
-/// What waits for a peer.
+/// Messages that wait for a peer.
 #[derive(Debug, Default)]
-pub(crate) struct Waiting {
+pub(crate) struct Outbox {
     messages: Mutex<VecDeque<FromPeer>>,
     news: Notify,
 }
 
-impl Waiting {
+impl Outbox {
     /// Adds a message. It never waits; false: the oldest had to go for it.
     pub(crate) fn push(&self, message: FromPeer) -> bool {
         let mut messages = self.messages.lock().unwrap_or_else(PoisonError::into_inner);
-        let full = messages.len() >= WAITING;
+        let full = messages.len() >= MESSAGES_MAX;
         if full {
             messages.pop_front();
         }
@@ -56,57 +56,57 @@
     }
 }
 
-/// Writes to one peer until stopped: dials it once there is something to write, and again whenever the link fails.
-pub(crate) async fn write(
-    net: &dyn Net,
-    to: SocketAddr,
-    waiting: &Waiting,
-    largest: usize,
-    within: Duration,
-    stop: CancellationToken,
-) {
-    let run = async {
-        let mut again = AGAIN;
+enum Never {}
+
+/// Writes to one peer.
+pub(crate) struct Link {
+    pub(crate) transport: Arc<dyn Transport>,
+    pub(crate) to: SocketAddr,
+    pub(crate) outbox: Arc<Outbox>,
+    /// The largest frame, in bytes.
+    pub(crate) largest_frame: usize,
+    /// Dialling and each write are due in this time.
+    pub(crate) within: Duration,
+}
+
+impl Link {
+    /// Writes until stopped: dials once there is something to write, and again whenever the connection fails.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            _ = self.write() => {}
+        }
+    }
+
+    async fn write(&self) -> Never {
+        let mut backoff = BACKOFF_FIRST;
         loop {
-            let first = waiting.next().await;
-            match link(net, to, first, waiting, largest, within, &mut again).await {
-                Ok(never) => match never {},
-                Err(cause) => tracing::debug!(event = "peer_link_down", %to, %cause),
+            let first = self.outbox.next().await;
+            match self.write_connected(first, &mut backoff).await {
+                Ok(never) => return never,
+                Err(cause) => tracing::debug!(event = "peer_link_down", to = %self.to, %cause),
             }
-            sleep(again).await;
-            again = (again * 2).min(AGAIN_MOST);
+            sleep(backoff).await;
+            backoff = (backoff * 2).min(BACKOFF_MAX);
         }
-    };
-    tokio::select! {
-        () = stop.cancelled() => {}
-        () = run => {}
     }
-}
 
-enum Never {}
-
-async fn link(
-    net: &dyn Net,
-    to: SocketAddr,
-    first: FromPeer,
-    waiting: &Waiting,
-    largest: usize,
-    within: Duration,
-    again: &mut Duration,
-) -> Result<Never, FrameError> {
-    let late = |_| FrameError::Io(std::io::ErrorKind::TimedOut.into());
-    let socket = timeout(within, net.dial(to)).await.map_err(late)??;
-    let mut frames = Framed::new(socket, Frames::<FromPeer, FromPeer>::new(largest));
-    let mut message = first;
-    loop {
-        // One that cannot be framed is left out: the link is sound, and the rest must not wait for it.
-        match timeout(within, frames.send(message)).await.map_err(late)? {
-            Err(FrameError::TooLarge { size, largest }) => {
-                tracing::error!(event = "peer_message_too_large", %to, size, largest);
+    /// Writes over one connection until it fails; a message that was written shows that it stands.
+    async fn write_connected(&self, first: FromPeer, backoff: &mut Duration) -> Result<Never, FrameError> {
+        let late = |_| FrameError::Io(std::io::ErrorKind::TimedOut.into());
+        let connection = timeout(self.within, self.transport.dial(self.to)).await.map_err(late)??;
+        let mut frames = Framed::new(connection, Frames::<FromPeer, FromPeer>::new(self.largest_frame));
+        let mut message = first;
+        loop {
+            // One that cannot be framed is left out: the link is sound, and the rest must not wait for it.
+            match timeout(self.within, frames.send(message)).await.map_err(late)? {
+                Err(FrameError::TooLarge { size, largest }) => {
+                    tracing::error!(event = "peer_message_too_large", to = %self.to, size, largest);
+                }
+                sent => sent?,
             }
-            sent => sent?,
+            *backoff = BACKOFF_FIRST;
+            message = self.outbox.next().await;
         }
-        *again = AGAIN;
-        message = waiting.next().await;
     }
 }
--- /dev/null
+++ b/crates/stepspur-peers/src/tcp.rs
@@ -0,0 +1,48 @@
+//! The transport of the program: TCP on loopback.
+
+use std::io;
+use std::net::SocketAddr;
+
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::transport::{Later, Listener, Stream, Transport};
+
+/// Plain TCP. It listens on loopback alone, as links carry no identity yet.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tcp;
+
+impl Transport for Tcp {
+    fn listen(&self, at: SocketAddr) -> Later<'_, io::Result<Box<dyn Listener>>> {
+        Box::pin(async move {
+            if !at.ip().is_loopback() {
+                return Err(io::Error::other("peers' links carry no identity yet: loopback only"));
+            }
+            let listener = TcpListener::bind(at).await?;
+            let address = listener.local_addr()?;
+            Ok(Box::new(BoundTcp { listener, address }) as Box<dyn Listener>)
+        })
+    }
+
+    fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Box<dyn Stream>>> {
+        Box::pin(async move {
+            let socket = TcpStream::connect(to).await?;
+            socket.set_nodelay(true)?;
+            Ok(Box::new(socket) as Box<dyn Stream>)
+        })
+    }
+}
+
+struct BoundTcp {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Listener for BoundTcp {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn accept(&mut self) -> Later<'_, io::Result<Box<dyn Stream>>> {
+        Box::pin(async { Ok(Box::new(self.listener.accept().await?.0) as Box<dyn Stream>) })
+    }
+}
--- /dev/null
+++ b/crates/stepspur-peers/src/transport.rs
@@ -0,0 +1,32 @@
+//! The transport between members as a trait, so that tests run whole members on a network in memory.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use tokio::io::{AsyncRead, AsyncWrite};
+
+/// A boxed future, for traits that are used as objects.
+pub type Later<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// A connection.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> Stream for T {}
+
+/// Connects members to each other.
+pub trait Transport: Send + Sync + 'static {
+    /// Listens at an address.
+    fn listen(&self, at: SocketAddr) -> Later<'_, io::Result<Box<dyn Listener>>>;
+
+    /// Connects to an address.
+    fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Box<dyn Stream>>>;
+}
+
+/// An address at which connections are accepted.
+pub trait Listener: Send {
+    /// The address.
+    fn address(&self) -> SocketAddr;
+
+    /// The next connection. The future may be dropped and asked for again without losing one.
+    fn accept(&mut self) -> Later<'_, io::Result<Box<dyn Stream>>>;
+}
