Take the engine apart: one job a file, the list and the streams as types of their own

Cause: engine/mod.rs had grown to 1,048 lines: inputs, outputs, counts, the list of servers, joins, reports, operators' orders and the turns of decisions, in one file and one struct.

Change: mod.rs (212 lines) keeps the engine's parts and hands out what comes in. `input`, `output`, `operation` and `stats` have the types; `servers` is the list of servers (`ServerList`, with what of its news is believed, as one `ListUpdate`), `streams` who is joined on which stream, `joins` joining and closing, `reports` what proxies and collectors tell, `decisions` what is due and what follows from the module's actions, `probes` probes. The public names and the behaviour are the same; no test is changed.

--- /dev/null
+++ b/crates/stepspur-conductor/src/engine/operation.rs
@@ -0,0 +1,92 @@
+//! What operators order.
+
+use std::net::SocketAddr;
+
+use stepspur::interface::{ClassId, Event, ListHow, ListState, Micros};
+
+use super::Engine;
+use crate::config::AdmitConfig;
+
+/// What an operator orders. It is no decision of the module's: the module is told what follows from it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Operation {
+    /// A server is held to be draining, whatever the list says, until it is lifted.
+    Drain {
+        /// The server.
+        server: SocketAddr,
+        /// False: lifted.
+        on: bool,
+    },
+    /// A server is held to be gone, whatever the list says, until it is lifted.
+    Withdraw {
+        /// The server.
+        server: SocketAddr,
+        /// False: lifted.
+        on: bool,
+    },
+    /// No more than this share of a class is let in, whatever the module orders; 1 lifts it.
+    Level {
+        /// The class's name.
+        class: String,
+        /// The share.
+        share: f64,
+    },
+}
+
+/// Why an operation cannot be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum OperationError {
+    /// No list has named the server.
+    #[error("no list has named this server")]
+    UnknownServer,
+    /// The class is none of the fleet's.
+    #[error("no class of this name")]
+    UnknownClass,
+    /// Not a share.
+    #[error("a share lies between 0 and 1")]
+    Share,
+    /// Levels of this fleet are rates, or not heeded.
+    #[error("levels of this fleet are no shares")]
+    NoShares,
+}
+
+impl Engine {
+    /// Does what an operator orders.
+    ///
+    /// # Errors
+    /// See [`OperationError`]; nothing has changed then.
+    pub fn operate(&mut self, now: Micros, operation: Operation) -> Result<(), OperationError> {
+        match operation {
+            Operation::Drain { server, on } => self.override_state(server, ListState::Draining, on),
+            Operation::Withdraw { server, on } => self.override_state(server, ListState::Gone, on),
+            Operation::Level { class, share } => self.cap_level(now, &class, share),
+        }
+    }
+
+    /// Holds a server to be in a state, or believes the list again.
+    fn override_state(
+        &mut self,
+        server: SocketAddr,
+        state: ListState,
+        on: bool,
+    ) -> Result<(), OperationError> {
+        let entry = self.servers.override_state(server, state, on).ok_or(OperationError::UnknownServer)?;
+        self.batch.push(Event::List { how: ListHow::Delta, entries: [entry].into() });
+        Ok(())
+    }
+
+    /// Lets in no more than this share of a class.
+    fn cap_level(&mut self, now: Micros, class: &str, share: f64) -> Result<(), OperationError> {
+        let place = self.config.fleet.classes.iter().position(|known| known.name == class);
+        let place = place.ok_or(OperationError::UnknownClass)?;
+        if !(0.0..=1.0).contains(&share) {
+            return Err(OperationError::Share);
+        }
+        if self.config.fleet.admit != AdmitConfig::Share {
+            return Err(OperationError::NoShares);
+        }
+        let orders = self.tables.cap(ClassId(place as u8), share as f32, now);
+        self.order(now, orders);
+        Ok(())
+    }
+}
--- a/crates/stepspur-conductor/src/engine/probes.rs
+++ b/crates/stepspur-conductor/src/engine/probes.rs
@@ -8,7 +8,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use stepspur::interface::{Micros, ServerId};
+use stepspur::interface::{Event, Micros, ProbeOutcome, ServerId};
+
+use super::{Engine, Output};
 
 /// What a probe is sent to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,3 +45,31 @@
         self.newest.remove(&server);
     }
 }
+
+impl Engine {
+    /// Sends a probe to a server where the list has it now.
+    pub(super) fn probe(&mut self, server: ServerId) {
+        let Some(target) = self.servers.probe_target(server) else { return };
+        self.probes.sent(target);
+        self.out.push_back(Output::Probe { target });
+    }
+
+    /// Takes the outcome of a probe. Where its server has moved or restarted since, the outcome tells nothing of it,
+    /// and it is probed again if no later probe has been sent there.
+    pub(super) fn take_outcome(
+        &mut self,
+        target: ProbeTarget,
+        outcome: ProbeOutcome,
+        latency: Micros,
+        load: Vec<f32>,
+    ) {
+        let server = target.server;
+        let Some(current) = self.servers.probe_target(server) else { return };
+        if current == target {
+            let load = if load.iter().all(|value| value.is_finite()) { load } else { Vec::new() };
+            self.batch.push(Event::Probed { server, outcome, latency, load });
+        } else if self.servers.is_ready(server) && !self.probes.is_newest(&current) {
+            self.probe(server);
+        }
+    }
+}
