Take the fleet's world in virtual time apart: one job a file

Tuples of numbers become `AttemptId`, `ConductorLife` and `Probe`; the whole list and its changes, and a release's drains and stops, are events of their own; bounds are named constants with units. Private names take the field's words: `Due` is `Scheduled`, `Srv`, `Prx`, `Cond` and `Req` are `ServerState`, `ProxyState`, `ConductorState` and `RequestState`, `tell` is `handle_input`, `act` is `run_engine`, `ask` is `draw_request`, `fate` is `impairment`. Order of events and of chance is the same, and so is the public interface.

--- /dev/null
+++ b/crates/stepspur-fleet/src/world/setup.rs
@@ -0,0 +1,144 @@
+//! A world at the beginning of its run.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stepspur_model::Micros;
+use stepspur_model::proxy::{Proxy, Spec};
+use stepspur_model::server::Server;
+use stepspur_rehearsal::clients::Outcomes;
+use stepspur_rehearsal::links::Links;
+use stepspur_rehearsal::plan::{Plan, ProxyPlan};
+use stepspur_rehearsal::trace::Event;
+use stepspur_rehearsal::traffic::{Traffic, Weather};
+
+use super::state::{ConductorState, Impairment, ProxyState, ServerState};
+use super::{Options, World, address};
+use crate::baseline::Baseline;
+use crate::queue::Queue;
+
+/// A run's first moment, microseconds since 1970: any time long after the beginning of time.
+pub(super) const BASE: Micros = 1_000_000_000_000;
+/// Proxies join for so long, in microseconds, before the first request.
+const LEAD: Micros = 1_000_000;
+/// Standing tables name servers of the proxy's zone where it has so many.
+const NEAR_ENOUGH: usize = 3;
+/// Proxies report so often, in microseconds, until a conductor tells them.
+const REPORT_PERIOD: Micros = 1_000_000;
+/// Keeps the world's chance apart from that of others with the plan's seed.
+const SEED_MASK: u64 = 0xf1ee7;
+
+impl World {
+    pub(super) fn new(plan: &Plan, options: &Options) -> Self {
+        let options = Options { conductors: options.conductors.max(plan.conductors), ..options.clone() };
+        let plan = Arc::new(plan.clone());
+        let mut rng = ChaCha8Rng::seed_from_u64(plan.seed ^ SEED_MASK);
+        let mut config = plan.config.clone();
+        config.fleet.conductors = options.conductors as u32;
+        let servers = servers(&plan, &mut rng);
+        let proxies = proxies(&plan, &options, &mut rng);
+        let started = |(proxy, (_, standing)): (usize, &(ProxyState, Vec<SocketAddr>))| {
+            (BASE, Event::ProxyStarted { proxy, standing: standing.clone() })
+        };
+        let events = proxies.iter().enumerate().map(started).collect();
+        let begin = BASE + LEAD;
+        Self {
+            conductors: conductors(&plan, &options),
+            outcomes: Outcomes::new(&plan),
+            traffic: Traffic::new(Arc::clone(&plan)),
+            options,
+            config,
+            now: BASE,
+            begin,
+            end: begin + super::micros(plan.length),
+            schedule: Queue::default(),
+            rng,
+            servers,
+            proxies: proxies.into_iter().map(|(proxy, _)| proxy).collect(),
+            weather: Weather::default(),
+            links: Links::default(),
+            list_down: false,
+            ghosts: 0,
+            memories: HashMap::new(),
+            requests: HashMap::new(),
+            next_request: 0,
+            next_stream: 0,
+            next_job: 0,
+            events,
+            fallen: 0,
+            orders: 0,
+            engine_time: Duration::ZERO,
+            decoded: None,
+            plan,
+        }
+    }
+}
+
+fn servers(plan: &Plan, rng: &mut ChaCha8Rng) -> Vec<ServerState> {
+    let mut state = |server: &stepspur_rehearsal::plan::ServerPlan| {
+        ServerState::new(Server::new(server.spec.clone(), rng.random(), BASE, true), server.up)
+    };
+    plan.servers.iter().map(&mut state).collect()
+}
+
+/// Proxies, with the servers that their standing tables name.
+fn proxies(plan: &Plan, options: &Options, rng: &mut ChaCha8Rng) -> Vec<(ProxyState, Vec<SocketAddr>)> {
+    let all = servers_up(plan, None);
+    let near: Vec<_> = (0..plan.zones.len()).map(|zone| servers_up(plan, Some(zone))).collect();
+    let mut proxy = |(number, proxy): (usize, &ProxyPlan)| {
+        let near = &near[proxy.zone];
+        let from = if near.len() >= NEAR_ENOUGH { near } else { &all };
+        let standing: Vec<_> = from.sample(rng, plan.standing).copied().collect();
+        let mut spec = Spec { classes: plan.classes.len(), ..plan.proxy.clone() };
+        spec.pick = options.baseline.and_then(Baseline::pick).unwrap_or(spec.pick);
+        let model = Proxy::new(spec, rng.random(), standing.clone(), BASE);
+        (proxy_state(plan, options, number, proxy.zone, model), standing)
+    };
+    plan.proxies.iter().enumerate().map(&mut proxy).collect()
+}
+
+fn proxy_state(plan: &Plan, options: &Options, number: usize, zone: usize, model: Proxy) -> ProxyState {
+    ProxyState {
+        model,
+        zone,
+        conductor: number % options.conductors.max(1),
+        stream: None,
+        welcomed: false,
+        redial_wait: plan.redial.as_micros() as Micros,
+        report_every: REPORT_PERIOD,
+        impairment: Impairment { late: options.reports_late, ..Impairment::default() },
+        unread: Vec::new(),
+        busy_until: 0,
+        newest_arrival: [0, 0],
+        idle: HashMap::new(),
+    }
+}
+
+/// The servers that are up at the beginning, of one zone or of all.
+fn servers_up(plan: &Plan, zone: Option<usize>) -> Vec<SocketAddr> {
+    let is_meant = |server: &usize| {
+        let planned = &plan.servers[*server];
+        planned.up && zone.is_none_or(|zone| planned.zone == zone)
+    };
+    (0..plan.servers.len()).filter(is_meant).map(address).collect()
+}
+
+fn conductors(plan: &Plan, options: &Options) -> Vec<ConductorState> {
+    let conductor = |number: usize| {
+        let zone = options.conductor_zones.get(number).copied();
+        ConductorState {
+            engine: None,
+            life: 0,
+            wake: Micros::MAX,
+            tracking: false,
+            zone: zone.unwrap_or(plan.conductor_zone + number) % plan.zones.len(),
+            streams: BTreeMap::new(),
+        }
+    };
+    (0..options.conductors.max(1)).map(conductor).collect()
+}
