Test that a subscriber brings back nothing lifted and ends by a gap whatever follows

Cause: with two guards of the subscriber taken out (documents at or before what is held left aside; nothing read while an update is taken) no test failed, and the test of silence did not end with its guard out.

Change: one test for each of the two, and a bound in the third.

Measured: 78 unit and 25 subscriber tests pass; each of the three guards taken out fails one test.

--- a/crates/stepspur-distribution/src/subscriber/keeper/tests.rs
+++ b/crates/stepspur-distribution/src/subscriber/keeper/tests.rs
@@ -125,6 +125,15 @@
     assert_eq!(rig.engine.asked(), asked + 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_delta_that_overlaps_brings_back_nothing_that_was_lifted() {
+    let mut rig = rig().await;
+    rig.whole(3, vec![document(1, 3, Some(5))]).await.expect("taken");
+    rig.delta(3, 5, vec![document(1, 5, None)]).await.expect("taken");
+    rig.delta(2, 6, vec![document(1, 3, Some(5)), document(2, 6, Some(6))]).await.expect("taken");
+    rig.stands(6, &[document(2, 6, Some(6))]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_is_not_newer_changes_nothing() {
     let mut rig = rig().await;
--- a/crates/stepspur-distribution/tests/subscriber.rs
+++ b/crates/stepspur-distribution/tests/subscriber.rs
@@ -79,6 +79,23 @@
     assert_eq!(rig.status(|status| status.control.is_some()).await.reconnects, 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_gap_ends_the_connection_whatever_has_come_after_it() {
+    let pipes = Pipes::default();
+    let mut door = pipes.door(1);
+    let rig = Rig::start(&pipes, &[1]).await;
+    let mut call = door.welcome().await;
+    rig.engine.hold_up(true);
+    call.delta(0, 3, &[document(1, 3, Some(5))]).await;
+    call.delta(4, 6, &[document(2, 5, Some(6))]).await;
+    call.delta(3, 7, &[document(3, 7, Some(7))]).await;
+    sleep(MOMENT).await;
+    rig.engine.hold_up(false);
+    call.ended().await;
+    assert_eq!(door.welcome().await.holds(), version(3));
+    assert_eq!(rig.engine.acts_by(), [document(1, 3, Some(5))]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_torn_snapshot_changes_nothing() {
     let pipes = Pipes::default();
@@ -229,6 +246,7 @@
     while let Some(frame) = call.receive().await {
         assert!(matches!(frame, from_subscriber::Kind::KeepAlive(_)), "{frame:?}");
         alive.push(began.elapsed());
+        assert!(alive.len() <= 3, "the silence does not end the connection");
     }
     assert_eq!(alive, [SPAN, SPAN * 2, SPAN * 3]);
     assert_eq!(began.elapsed(), SPAN * 3);
