--- a/crates/stepspur-scale/src/capacity/page.rs
+++ b/crates/stepspur-scale/src/capacity/page.rs
@@ -104,9 +104,10 @@
     text + &formulas.0
 }
 
-const ROLE_HEADS: [&str; 9] = [
+const ROLE_HEADS: [&str; 10] = [
     "part",
     "entries",
+    "state, bytes",
     "messages/s",
     "bytes/s",
     "CPU, % of a core",
@@ -116,12 +117,13 @@
     "formula",
 ];
 /// Of them, those of a conductor: its allowances stand below the sums, its formulas in a table of their own.
-const CONDUCTOR_HEADS: usize = 7;
+const CONDUCTOR_HEADS: usize = 8;
 
-fn role_cells(row: &Row) -> [String; 9] {
+fn role_cells(row: &Row) -> [String; 10] {
     [
         row.what.to_owned(),
         row.entries.text(),
+        row.state_bytes.text(),
         row.messages.text(),
         row.bytes.text(),
         row.cpu.text(),
@@ -139,14 +141,14 @@
     let mut line = |what: &str, of: &dyn Fn(&Row) -> bool| {
         let known = |cell: fn(&Row) -> Cell| roles::sum_known(rows, of, cell).text();
         let (bytes, cpu, memory) = (known(|row| row.bytes), known(|row| row.cpu), known(|row| row.memory));
-        let _ = writeln!(table, "| **{what}** | | | {bytes} | {cpu} | {memory} | |");
+        let _ = writeln!(table, "| **{what}** | | | | {bytes} | {cpu} | {memory} | |");
     };
     line("control, probes apart: list, configuration, council", &control);
     line("control, with probes", &with_probes);
     line("all of it, what is known", &|_| true);
     let _ = writeln!(
         table,
-        "| *allowed for control; memory in all* | | | {:.0} | {} | {:.0} | |",
+        "| *allowed for control; memory in all* | | | | {:.0} | {} | {:.0} | |",
         USERS.bytes_per_s, USERS.cpu_percent, USERS.memory_mib
     );
     table
--- a/crates/stepspur-scale/src/capacity/roles.rs
+++ b/crates/stepspur-scale/src/capacity/roles.rs
@@ -7,6 +7,7 @@
 use super::target::{Assumptions, DAY_S, USERS};
 use crate::hollow::servers::address_of;
 use crate::slopes::result::{Metric, Name};
+use crate::traffic::HEADER_BYTES;
 
 /// Servers behind the slope of proxies.
 pub const SERVERS_OF_PROXIES_SLOPE: f64 = 240.0;
@@ -21,6 +22,8 @@
 const KEEP_ALIVE_S: f64 = 5.0;
 /// Changes of the list that a restart makes: draining, ready again.
 const ENTRIES_OF_RESTART: f64 = 2.0;
+/// Bytes of a command behind the slope of entries.
+const COMMAND_BYTES: f64 = 130.0;
 /// Members of a council that the slope was measured up to.
 pub const COUNCIL_MEASURED: f64 = 23.0;
 
@@ -31,7 +34,9 @@
     pub what: &'static str,
     /// What it holds, in entries.
     pub entries: Cell,
-    /// Messages a second, both ways.
+    /// The same in bytes, as it is worded on the wire or on disk.
+    pub state_bytes: Cell,
+    /// Messages a second, both ways; of a council TCP segments, acknowledgements among them.
     pub messages: Cell,
     /// Bytes a second, both ways, with headers.
     pub bytes: Cell,
@@ -83,10 +88,17 @@
     let calls = 1.0 / LIST_POLL_S + list_changes_per_s(servers);
     let entries = Cell::counted(list_changes_per_s(servers) * entry_bytes());
     let following = |metric| figures.at(Name::Members, metric, COUNCIL_MEASURED);
+    let following_segments = segments_per_s(
+        figures,
+        COUNCIL_MEASURED,
+        Metric::FollowerWireBytesPerS,
+        Metric::FollowerPayloadBytesPerS,
+    );
     vec![
         Row {
             what: "itself, streams, tables, a report a second",
             entries: Cell::counted(proxies),
+            state_bytes: Cell::NOT_KNOWN,
             messages: Cell::counted(proxies * (1.0 + 2.0 / KEEP_ALIVE_S)),
             bytes: joined(Metric::WireBytesPerS),
             cpu: joined(Metric::CpuPercent),
@@ -98,6 +110,7 @@
         Row {
             what: "reports: further requests told",
             entries: Cell::counted(requests_per_s),
+            state_bytes: Cell::NOT_KNOWN,
             messages: Cell::counted(0.0),
             bytes: told(Metric::WireBytesPerS),
             cpu: told(Metric::CpuPercent),
@@ -109,6 +122,7 @@
         Row {
             what: "servers listed, above 240 (or below)",
             entries: Cell::counted(servers),
+            state_bytes: Cell::NOT_KNOWN,
             messages: Cell::counted(0.0),
             bytes: Cell::counted(0.0),
             cpu: more_servers(Metric::CpuPercent),
@@ -120,6 +134,7 @@
         Row {
             what: "probes",
             entries: Cell::counted(servers),
+            state_bytes: Cell::NOT_KNOWN,
             messages: Cell::counted(2.0 * probes),
             bytes: per_call(Metric::WireBytesPerS).times(probes),
             cpu: per_call(Metric::CpuPercent).times(probes),
@@ -131,6 +146,7 @@
         Row {
             what: "the list of servers",
             entries: Cell::counted(servers),
+            state_bytes: Cell::counted(servers * entry_bytes()),
             messages: Cell::counted(2.0 * calls),
             bytes: per_call(Metric::WireBytesPerS).times(calls).plus(entries),
             cpu: per_call(Metric::CpuPercent).times(calls),
@@ -142,6 +158,7 @@
         Row {
             what: "configuration",
             entries: Cell::counted(0.0),
+            state_bytes: Cell::counted(0.0),
             messages: Cell::counted(0.0),
             bytes: Cell::counted(0.0),
             cpu: Cell::counted(0.0),
@@ -153,7 +170,8 @@
         Row {
             what: "council of 23, following only",
             entries: Cell::counted(COUNCIL_MEASURED),
-            messages: Cell::NOT_KNOWN,
+            state_bytes: Cell::NOT_KNOWN,
+            messages: following_segments,
             bytes: following(Metric::FollowerWireBytesPerS),
             cpu: following(Metric::FollowerCpuPercent),
             memory: Cell::counted(0.0),
@@ -170,6 +188,12 @@
     probed.filter(|each| *each > 0.0).map_or(f64::NAN, |each| 1.0 / each)
 }
 
+/// TCP segments a second of a council's member: what headers make more than payload.
+fn segments_per_s(figures: Figures, members: f64, wire: Metric, payload: Metric) -> Cell {
+    let at = |metric| figures.at(Name::Members, metric, members);
+    at(wire).plus(at(payload).times(-1.0)).times(1.0 / HEADER_BYTES as f64)
+}
+
 /// Rows of [`conductor`] that are control, probes apart.
 pub const CONTROL: [&str; 3] = ["the list of servers", "configuration", "council of 23, following only"];
 /// The row of probes.
@@ -189,6 +213,7 @@
 /// All other roles.
 pub fn others(figures: Figures, with: &Assumptions) -> Vec<Row> {
     let leader = |metric| figures.at(Name::Members, metric, USERS.machines);
+    let segments = |members, wire, payload| segments_per_s(figures, members, wire, payload);
     let in_burst = |metric| figures.at(Name::Entries, metric, with.burst_per_s);
     let probers = USERS.conductors * with.servers / USERS.servers;
     let probed = probers * probes_per_s(with.servers, with.requests_per_s) / with.servers;
@@ -201,6 +226,7 @@
         Row {
             what: "voter",
             entries: Cell::NOT_KNOWN,
+            state_bytes: Cell::NOT_KNOWN,
             messages: Cell::NOT_KNOWN,
             bytes: leader(Metric::VoterWireBytesPerS),
             cpu: leader(Metric::VoterCpuPercent),
@@ -212,7 +238,8 @@
         Row {
             what: "leader, idle",
             entries: Cell::NOT_KNOWN,
-            messages: Cell::NOT_KNOWN,
+            state_bytes: Cell::NOT_KNOWN,
+            messages: segments(USERS.machines, Metric::LeaderWireBytesPerS, Metric::LeaderPayloadBytesPerS),
             bytes: leader(Metric::LeaderWireBytesPerS),
             cpu: leader(Metric::LeaderCpuPercent),
             memory: leader(Metric::LeaderResidentMib),
@@ -223,6 +250,7 @@
         Row {
             what: "leader, in the burst of changes",
             entries: Cell::counted(with.burst_per_s * with.burst_s),
+            state_bytes: Cell::counted(with.burst_per_s * with.burst_s * COMMAND_BYTES),
             messages: Cell::NOT_KNOWN,
             bytes: in_burst(Metric::LeaderWireBytesPerS),
             cpu: in_burst(Metric::LeaderCpuPercent),
@@ -234,6 +262,7 @@
         Row {
             what: "leader, if all 2,400 conductors were members",
             entries: Cell::counted(USERS.conductors),
+            state_bytes: Cell::NOT_KNOWN,
             messages: Cell::NOT_KNOWN,
             bytes: figures.at(Name::Members, Metric::LeaderWireBytesPerS, USERS.conductors),
             cpu: figures.at(Name::Members, Metric::LeaderCpuPercent, USERS.conductors),
@@ -245,7 +274,12 @@
         Row {
             what: "control machine that only follows",
             entries: Cell::NOT_KNOWN,
-            messages: Cell::NOT_KNOWN,
+            state_bytes: Cell::NOT_KNOWN,
+            messages: segments(
+                USERS.machines,
+                Metric::FollowerWireBytesPerS,
+                Metric::FollowerPayloadBytesPerS,
+            ),
             bytes: leader(Metric::FollowerWireBytesPerS),
             cpu: leader(Metric::FollowerCpuPercent),
             memory: leader(Metric::FollowerResidentMib),
@@ -256,6 +290,7 @@
         Row {
             what: "list source",
             entries: Cell::counted(USERS.servers),
+            state_bytes: Cell::counted(USERS.servers * entry_bytes()),
             messages: Cell::counted(2.0 * calls),
             bytes: per_probe(Metric::WireBytesPerS).times(calls).plus(Cell::counted(told)),
             cpu: Cell::NOT_KNOWN,
@@ -267,6 +302,7 @@
         Row {
             what: "operators' endpoint, all of them",
             entries: Cell::counted(0.0),
+            state_bytes: Cell::counted(0.0),
             messages: Cell::counted(2.0 * USERS.conductors * USERS.changes_per_s()),
             bytes: Cell::NOT_KNOWN,
             cpu: Cell::NOT_KNOWN,
@@ -278,6 +314,7 @@
         Row {
             what: "server, as far as probes load it",
             entries: Cell::counted(probers),
+            state_bytes: Cell::NOT_KNOWN,
             messages: Cell::counted(2.0 * probed),
             bytes: per_probe(Metric::WireBytesPerS).times(probed),
             cpu: Cell::NOT_KNOWN,
@@ -289,6 +326,7 @@
         Row {
             what: "proxy, to choose",
             entries: Cell::counted(with.servers),
+            state_bytes: Cell::NOT_KNOWN,
             messages: Cell::counted(1.0 + 2.0 / KEEP_ALIVE_S),
             bytes: figures.more(Name::Proxies, Metric::WireBytesPerS),
             cpu: choose.times(rate / 1e6 * 100.0),
--- a/crates/stepspur-scale/src/capacity/tests.rs
+++ b/crates/stepspur-scale/src/capacity/tests.rs
@@ -63,6 +63,7 @@
             &[
                 (FollowerCpuPercent, 2.0, 0.0),
                 (FollowerWireBytesPerS, 2_000.0, 0.0),
+                (FollowerPayloadBytesPerS, 440.0, 0.0),
                 (LeaderCpuPercent, 0.5, 0.01),
             ],
         ),
@@ -121,6 +122,8 @@
     near(row(&rows, "probes").bytes, 37.5 * 600.0);
     near(row(&rows, "probes").cpu, 37.5 * 0.02);
     near(row(&rows, "council of 23, following only").bytes, 2_000.0);
+    near(row(&rows, "council of 23, following only").messages, 30.0);
+    near(row(&rows, "the list of servers").state_bytes, 240.0 * roles::entry_bytes());
     let control = |row: &roles::Row| roles::CONTROL.contains(&row.what);
     let calls = 0.1 + list_changes_per_s(240.0);
     let list = calls * 600.0 + list_changes_per_s(240.0) * roles::entry_bytes();
--- a/crates/stepspur-scale/src/slopes/choose.rs
+++ b/crates/stepspur-scale/src/slopes/choose.rs
@@ -10,22 +10,20 @@
 use super::result::{Metric, Values};
 use crate::hollow::servers::address_of;
 
-/// Each way is measured for so long.
-const SPAN: Duration = Duration::from_millis(400);
 /// Requests between two looks at the clock of the whole, and between two reports.
 const BATCH: u64 = 500;
 const SERVER_PORT: u16 = 80;
 
-/// Measures a table of so many lines.
+/// Measures a table of so many lines, each of three ways for `span`.
 ///
 /// # Errors
 /// If the proxy finds no server.
-pub fn measure(lines: usize, seed: u64) -> anyhow::Result<Values> {
+pub fn measure(lines: usize, seed: u64, span: Duration) -> anyhow::Result<Values> {
     let mut proxy = proxy(lines, seed);
     let mut times = Histogram::<u64>::new_with_bounds(1, 1_000_000_000, 3)?;
     let from = Instant::now();
     let mut requests = 0u64;
-    while from.elapsed() < SPAN {
+    while from.elapsed() < span {
         for _ in 0..BATCH {
             requests += 1;
             let at = Instant::now();
@@ -34,8 +32,8 @@
         }
         std::hint::black_box(proxy.report(requests));
     }
-    let once = mean_us(&mut proxy, false)?;
-    let twice = mean_us(&mut proxy, true)?;
+    let once = mean_us(&mut proxy, false, span)?;
+    let twice = mean_us(&mut proxy, true, span)?;
     let p99 = times.value_at_quantile(0.99) as f64 / 1e3;
     Ok(Values::from([(Metric::ChooseUs, once), (Metric::ChooseP99Us, p99), (Metric::ChooseAgainUs, twice)]))
 }
@@ -75,9 +73,9 @@
     Ok(())
 }
 
-fn mean_us(proxy: &mut Proxy, again: bool) -> anyhow::Result<f64> {
+fn mean_us(proxy: &mut Proxy, again: bool, span: Duration) -> anyhow::Result<f64> {
     let (from, mut requests) = (Instant::now(), 0u64);
-    while from.elapsed() < SPAN {
+    while from.elapsed() < span {
         for _ in 0..BATCH {
             requests += 1;
             // A millisecond of the proxy's time each, so that what it keeps clear of comes back.
--- a/crates/stepspur-scale/src/slopes/mod.rs
+++ b/crates/stepspur-scale/src/slopes/mod.rs
@@ -55,6 +55,8 @@
 /// A conductor or council is watched for so long.
 const WINDOW: Duration = Duration::from_secs(3);
 const QUICK_WINDOW: Duration = Duration::from_millis(500);
+/// A way of choosing is measured for such a part of the window.
+const CHOOSE_WINDOWS: u32 = 8;
 /// One repeat of one size ends after this, whatever becomes of it.
 const LONGEST_RUN: Duration = Duration::from_secs(90);
 /// Members beside the voters while entries are agreed on.
@@ -198,6 +200,6 @@
             council::measure_entries(council::VOTERS + ENTRIES_FOLLOWERS, size as u32, window).await
         }
         Name::Tenants => tenants::measure(program, size, window).await,
-        Name::Choose => choose::measure(size, seed),
+        Name::Choose => choose::measure(size, seed, window / CHOOSE_WINDOWS),
     }
 }
