Test tenants' documents by processes, each fleet at an address of its own

A document of one tenant is seen by that tenant's proxy alone, in a conductor that is control member and subscriber at once. The distribution's part of a status is seen by administrators alone. The 409 of a version names the leader in words. One run of eight tests failed as a process said nothing at its start (its log was thrown away: the suspicion, not shown, is an address that another test had taken since it was found free). Each fleet now has an address under 127/8 of its own, and the log of a process that does not start is printed.

--- a/crates/stepspur-cli/tests/common/distribution.rs
+++ b/crates/stepspur-cli/tests/common/distribution.rs
@@ -1,10 +1,12 @@
 //! Control members and subscribers as processes, a proxy's stream, and an operator's calls; every wait is bounded.
 
 use std::collections::BTreeSet;
+use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
@@ -14,11 +16,12 @@
 use stepspur_identity::tls;
 use stepspur_proto::{Frames, FromConductor, FromProxy, VERSION, from_conductor, from_proxy, v1};
 use tempfile::TempDir;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_rustls::TlsConnector;
+use tokio_rustls::client::TlsStream;
 use tokio_rustls::rustls::ClientConfig;
 use tokio_rustls::rustls::pki_types::pem::PemObject;
 use tokio_rustls::rustls::pki_types::{CertificateDer, ServerName};
@@ -48,10 +51,11 @@
 impl Process {
     /// Starts the program and waits until it says where it listens.
     pub fn start(config: &Path) -> Self {
+        let log = config.with_extension("log");
         let mut child = Command::new(PROGRAM)
             .args(["run", "--log", "warn", "--config", config.to_str().unwrap()])
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(File::create(&log).unwrap())
             .spawn()
             .unwrap();
         let mut out = BufReader::new(child.stdout.take().unwrap());
@@ -62,7 +66,9 @@
             let _ = tell.send(line);
         });
         let line = told.recv_timeout(PATIENCE).expect("an announcement");
-        let said: Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e}: {line:?}"));
+        let said: Value = serde_json::from_str(&line).unwrap_or_else(|fault| {
+            panic!("{fault}: {line:?}: {}", std::fs::read_to_string(&log).unwrap_or_default())
+        });
         let address = |key: &str| said[key].as_str().unwrap().parse().unwrap();
         Self { child, listening: address("listening"), status: address("status") }
     }
@@ -113,8 +119,17 @@
     tls: Arc<ClientConfig>,
 }
 
-fn ports(count: usize) -> Vec<SocketAddr> {
-    let held: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+/// A loopback address that no other fleet of this process has, and hardly one of another: ports that were free there a
+/// moment ago are not taken by other tests' sockets, which all are at 127.0.0.1.
+fn own_address() -> Ipv4Addr {
+    static FLEETS: AtomicU8 = AtomicU8::new(1);
+    let [high, low, ..] = std::process::id().to_le_bytes();
+    Ipv4Addr::new(127, 1 + high % 250, low, FLEETS.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Addresses that are free now.
+fn ports(at: Ipv4Addr, count: usize) -> Vec<SocketAddr> {
+    let held: Vec<_> = (0..count).map(|_| TcpListener::bind((at, 0)).unwrap()).collect();
     held.iter().map(|port| port.local_addr().unwrap()).collect()
 }
 
@@ -146,14 +161,26 @@
     /// Control members with keys and founded state files.
     pub fn new(control: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let all = ports(3 * control);
+        let at = own_address();
+        let all = ports(at, 3 * control);
         let part = |k: usize| all[k * control..(k + 1) * control].to_vec();
         let nodes: String =
             (1..=4).map(|k| format!("[[node]]\naddress = \"127.0.0.1:900{k}\"\nzone = \"a\"\n")).collect();
         std::fs::write(folder.path().join("nodes.toml"), nodes).unwrap();
         let keys = folder.path().join("identity");
         let dir = keys.to_str().unwrap();
-        stepspur(&["keys", "new", "--dir", dir, "--issuer", "desk", "--audience", "test"]);
+        stepspur(&[
+            "keys",
+            "new",
+            "--dir",
+            dir,
+            "--issuer",
+            "desk",
+            "--audience",
+            "test",
+            "--address",
+            &at.to_string(),
+        ]);
         let anchor = &read_manifest(&keys).unwrap().anchor[0].file;
         let anchor = CertificateDer::from_pem_file(keys.join(anchor)).unwrap();
         let tls = tls::client(&[anchor], None).unwrap();
@@ -193,11 +220,12 @@
             .map(|(id, at)| format!("[[council.conductors]]\nid = {id}\naddress = \"{at}\"\n"))
             .collect();
         let text = format!(
-            "{base}[listen]\naddress = \"127.0.0.1:0\"\n\
+            "{base}[listen]\naddress = \"{at}:0\"\n\
              [identity]\nfolder = {keys:?}\naudit = {audit:?}\ncertificates = \"optional\"\noperators = \"{operators}\"\n\
              [council]\nid = {id}\nstate = {state:?}\nelection = \"300ms\"\nheartbeat = \"60ms\"\nrenew = \"120ms\"\n\
              {conductors}[distribution.control]\nkeep_alive = \"300ms\"\n{members}",
             base = self.base(),
+            at = operators.ip(),
             keys = self.path("identity"),
             audit = self.path(&format!("audit-{id}.jsonl")),
             state = self.path(&format!("council-{id}.redb")),
@@ -218,6 +246,23 @@
         self.write(&format!("{name}.toml"), &text)
     }
 
+    /// Writes the settings of a control member that subscribes as well, with a second tenant: `south`.
+    pub fn control_and_subscriber_config(&self, id: usize) -> PathBuf {
+        let control = std::fs::read_to_string(self.control_config(id)).unwrap();
+        let (fleet, _) = BASE.split_once("[probes]").unwrap();
+        let south = fleet.replace("[fleet", "[tenants.south.fleet");
+        let text = format!(
+            "{control}[distribution.subscriber]\nname = \"both\"\nregion = \"north\"\nstate = {state:?}\n\
+             control = {control_members:?}\n[[distribution.subscriber.services]]\nservice = \"shop\"\n\
+             tenants = [\"default\", \"south\"]\n{south}\
+             [tenants.south.source]\nkind = \"file\"\nevery = \"50ms\"\npath = {nodes:?}\n",
+            state = self.path("both.redb"),
+            control_members = self.control.iter().map(SocketAddr::to_string).collect::<Vec<_>>(),
+            nodes = self.path("nodes.toml"),
+        );
+        self.write("both.toml", &text)
+    }
+
     fn write(&self, name: &str, text: &str) -> PathBuf {
         let path = self.path(name);
         std::fs::write(&path, text).unwrap();
@@ -237,6 +282,18 @@
         stepspur(&args).trim().to_owned()
     }
 
+    async fn dial(&self, address: SocketAddr) -> std::io::Result<TlsStream<TcpStream>> {
+        let socket = TcpStream::connect(address).await?;
+        let connector = TlsConnector::from(Arc::clone(&self.tls));
+        connector.connect(ServerName::from(address.ip()), socket).await
+    }
+
+    /// A proxy of a tenant, by TLS with a token.
+    pub async fn join(&self, address: SocketAddr, tenant: &str) -> Proxy {
+        let token = self.token(tenant, &["join", "read_tables", "report"]);
+        Proxy::join_on(self.dial(address).await.unwrap(), "olga", token).await
+    }
+
     /// An operator's call at a control member: the code and the answer.
     pub async fn call(&self, id: usize, token: &str, line: &str, body: &str) -> (u16, Value) {
         self.try_call(id, token, line, body).await.unwrap()
@@ -250,10 +307,7 @@
         line: &str,
         body: &str,
     ) -> std::io::Result<(u16, Value)> {
-        let address = self.operators[id - 1];
-        let socket = TcpStream::connect(address).await?;
-        let connector = TlsConnector::from(Arc::clone(&self.tls));
-        let mut stream = connector.connect(ServerName::from(address.ip()), socket).await?;
+        let mut stream = self.dial(self.operators[id - 1]).await?;
         let length = body.len();
         let request = format!(
             "{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nauthorization: Bearer {token}\r\n\
@@ -328,13 +382,21 @@
 
 impl Proxy {
     pub async fn join(address: SocketAddr, name: &str) -> Self {
-        let socket = TcpStream::connect(address).await.unwrap();
-        let mut frames = Framed::new(socket, Frames::<FromConductor, FromProxy>::new(1 << 20));
+        Self::join_on(TcpStream::connect(address).await.unwrap(), name, String::new()).await
+    }
+
+    async fn join_on<S: AsyncRead + AsyncWrite + Unpin + Send + 'static>(
+        stream: S,
+        name: &str,
+        token: String,
+    ) -> Self {
+        let mut frames = Framed::new(stream, Frames::<FromConductor, FromProxy>::new(1 << 20));
         let hello = v1::Hello {
             version: VERSION,
             name: name.into(),
             zone: "a".into(),
             fresh: true,
+            credentials: token.into(),
             ..Default::default()
         };
         frames.send(FromProxy::new(0, 0, from_proxy::Kind::Hello(hello))).await.unwrap();
@@ -368,8 +430,8 @@
     }
 }
 
-async fn follow(
-    mut frames: Framed<TcpStream, Frames<FromConductor, FromProxy>>,
+async fn follow<S: AsyncRead + AsyncWrite + Unpin>(
+    mut frames: Framed<S, Frames<FromConductor, FromProxy>>,
     show: watch::Sender<Ordered>,
 ) {
     while let Some(Ok(frame)) = frames.next().await {
--- a/crates/stepspur-cli/tests/distribution.rs
+++ b/crates/stepspur-cli/tests/distribution.rs
@@ -191,6 +191,40 @@
     assert_eq!(left["documents"], json!([]));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_tenants_document_reaches_the_proxies_of_that_tenant_alone() {
+    let fleet = Fleet::new(1);
+    let token = fleet.token("default", &["change", "read_status", "administer"]);
+    let config = fleet.control_and_subscriber_config(1);
+    let both = Process::start(&config);
+    let mut own = fleet.join(both.listening, "default").await;
+    let mut south = fleet.join(both.listening, "south").await;
+    own.until_used(9001, true).await;
+    south.until_used(9001, true).await;
+    let mut of_south = level("read", Some(500_000));
+    of_south["scope"]["tenant"] = json!("south");
+    let version = propose(&fleet, 1, &token, &[of_south.clone()]).await;
+    south.until_share(READ, 0.5).await;
+    until_everywhere(&fleet, &token, &version).await;
+    let version = propose(&fleet, 1, &token, &[level("write", Some(750_000))]).await;
+    own.until_share(WRITE, 0.75).await;
+    south.until_share(WRITE, 0.75).await;
+    until_everywhere(&fleet, &token, &version).await;
+    // By now the first one would have come, too.
+    assert_eq!((own.share(READ), south.share(READ)), (1.0, 0.5));
+
+    // A tenant that this conductor lacks does not concern it; of one that it has, a restart keeps the documents.
+    let mut of_west = level("read", Some(1));
+    of_west["scope"]["tenant"] = json!("west");
+    let version = propose(&fleet, 1, &token, &[of_west]).await;
+    assert_eq!(until_everywhere(&fleet, &token, &version).await["expected"], 0);
+    drop((own, south));
+    assert_eq!(both.terminate(), Some(0));
+    let both = Process::start(&config);
+    let mut south = fleet.join(both.listening, "south").await;
+    south.until_share(READ, 0.5).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_unknown_outcome_is_proposed_again_under_its_operation_and_takes_effect_once() {
     let fleet = Fleet::new(3);
@@ -283,6 +317,13 @@
     };
     assert_eq!(tenants(&changes).await, [Value::Null, json!("north")]);
     assert_eq!(tenants(&both).await, [Value::Null, json!("north"), json!("south")]);
+    // Nor is the distribution's status, which names documents of all tenants.
+    let shows = async |rights: &[&str]| {
+        let (code, status) = fleet.call(1, &fleet.token("default", rights), "GET /v1/status", "").await;
+        (code, status["distribution"]["control"]["documents"].as_u64())
+    };
+    assert_eq!(shows(&["read_status"]).await, (200, None));
+    assert_eq!(shows(&["read_status", "administer"]).await, (200, Some(3)));
     let audit = fleet.audit(1);
     let count = |what: &str| audit.lines().filter(|line| line.contains(what)).count();
     assert_eq!((count("agreed as version"), count("refused: the right is missing")), (4, 6), "{audit}");
--- a/crates/stepspur-conductor/src/service/operator/configuration.rs
+++ b/crates/stepspur-conductor/src/service/operator/configuration.rs
@@ -153,16 +153,20 @@
 
 /// How a question that has no answer here is answered.
 fn standing_fault(error: &StandingError) -> (StatusCode, Json<Value>) {
-    let (status, leader) = match error {
-        StandingError::NotLeader { leader } => (StatusCode::CONFLICT, Some(leader)),
-        StandingError::UnknownVersion { .. } => (StatusCode::NOT_FOUND, None),
-        StandingError::NoAnswer(_) => (StatusCode::SERVICE_UNAVAILABLE, None),
-    };
-    let mut body = json!({ "result": error.to_string() });
-    if let Some(leader) = leader {
-        body["leader"] = json!(leader);
+    let told = |status, body| (status, Json(body));
+    match error {
+        StandingError::NotLeader { leader } => {
+            let name = leader.map_or("nobody that it knows of".to_owned(), |leader| leader.to_string());
+            let result = format!("this control member does not lead; the leader is {name}");
+            told(StatusCode::CONFLICT, json!({ "result": result, "leader": leader }))
+        }
+        StandingError::UnknownVersion { .. } => {
+            told(StatusCode::NOT_FOUND, json!({ "result": error.to_string() }))
+        }
+        StandingError::NoAnswer(_) => {
+            told(StatusCode::SERVICE_UNAVAILABLE, json!({ "result": error.to_string() }))
+        }
     }
-    (status, Json(body))
 }
 
 async fn remove((State(api), Extension(seen), headers): Asked, body: String) -> Result<Response, Told> {
