Take every caller in at once and refuse the oldest, so that none piles up

What is counted beside them are connections that the kernel keeps at the listener: the queue is 4,096 long. They wait because about 100 callers a second come in: from `accepted=674` to `accepted=1660` in ten seconds. `Connections::room` (connections.rs) cut one pending connection, then the listener slept for 25 ms before it looked again (`look_again = now + BRIEF / 8`, and `if held.values().any(|c| c.going)` lets no second one go meanwhile): 40 a second, where 128 places of 200 ms each should give 640. Nearly half of those refused (6,078 of 12,795) went only after their 1.3 s. It would not take more than 127 although 2,100 descriptors were free. Ruled out: joining that does not keep up (joined is 456 at the first look and 459 at all others, no rule broken); connections whose close lingers (closing=0 throughout); descriptors that are not given back (held never passes joined + 127).

Over real connections the same: a proxy behind 800 strangers had its table after 8.6 s, behind 300 at a small limit after 7.5 s.

Change: callers are taken in as long as there is a descriptor, and all pending ones beyond the limit that had their 200 ms are refused in one go. Only where descriptors run out does anybody wait, and then until one is free, not 25 ms more. A caller whose joining has come when it is to go has joined. What a connection says before it has joined has a module of its own (handshake.rs).

--- a/crates/stepspur-platform/src/lib.rs
+++ b/crates/stepspur-platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod connections;
 pub mod dialect;
 pub mod discovery;
+mod handshake;
 pub mod listener;
 pub mod message;
 
--- a/crates/stepspur-platform/src/listener.rs
+++ b/crates/stepspur-platform/src/listener.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use stepspur::interface::{ProxyId, ZoneId};
 use stepspur_conductor::engine::{Input, StreamId};
 use stepspur_conductor::service::{
     EngineLink, Listener, Outgoing, Outgoings, Shutdown, Waiting, lingering_close,
@@ -16,27 +15,21 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::connections::{Budget, Connections};
+use crate::handshake::{HEARTBEAT, Handshake, Joined, READ, Socket};
 use crate::message::{Catalog, LARGEST, Lines, Message, MessageError};
 
-/// A caller joins within this time.
-const JOIN: Duration = Duration::from_millis(1300);
-/// A caller that has not joined may write lines of so many bytes.
-const LARGEST_FIRST: usize = 4096;
 /// A connection that is closed in order is closed in any case after this.
 const LINGER: Duration = Duration::from_millis(200);
 /// What may wait for a proxy that does not read. The platform itself resets whoever leaves 128 KiB unread.
 const WAITING: Waiting = Waiting { messages: 512, bytes: 256 << 10 };
 /// Heartbeats that may wait to be answered.
 const HEARTBEATS: usize = 64;
-/// Bytes read or written in one go, and kept for one connection at most.
+/// Bytes written in one go, and kept for one connection at most.
 const GO: usize = 16 << 10;
-const READ: usize = 2 << 10;
-
-const HEARTBEAT: &[u8] = b"{\"@type\":\"hb_ok\"}\n";
 
 /// Takes the platform's connections in.
 #[derive(Debug)]
@@ -57,9 +50,7 @@
         let (mut tasks, mut next) = (JoinSet::new(), 0);
         let accept = async {
             loop {
-                while let Some(again) = connections.room(Instant::now()) {
-                    sleep_until(again).await;
-                }
+                connections.room().await;
                 let accepted = tokio::select! {
                     accepted = listener.accept() => accepted,
                     Some(_) = tasks.join_next() => continue,
@@ -134,31 +125,19 @@
     }
 }
 
-/// As what a caller has joined.
-#[derive(Clone, Copy, Debug)]
-enum Joined {
-    Collector,
-    Proxy { proxy: ProxyId, zone: ZoneId, rate: f64, fresh: bool },
-}
-
 impl Caller {
-    async fn run(mut self, socket: TcpStream) {
+    async fn run(self, socket: TcpStream) {
         // Orders are small and must not wait for each other.
         let _ = socket.set_nodelay(true);
-        let (mut read, mut write) = socket.into_split();
-        let mut lines = Lines::default();
-        let (cut, stop) = (self.cut.clone(), self.stop.clone());
-        let joined = tokio::select! {
-            joined = timeout(JOIN, self.handshake(&mut read, &mut write, &mut lines)) => joined,
-            () = cut.cancelled() => Ok(Err("others wait".to_owned())),
-            () = stop.cancelled() => Ok(Err("the conductor stops".to_owned())),
-        };
-        let refusal = match joined {
-            Ok(Ok(Some(joined))) => return self.serve(joined, read, write, lines).await,
-            Ok(Ok(None)) => return,
-            Ok(Err(what)) => what,
-            Err(_) => "no joining came in time".to_owned(),
+        let (read, write) = socket.into_split();
+        let mut socket = Socket { read, write, lines: Lines::default() };
+        let handshake = Handshake { catalog: Arc::clone(&self.catalog), ready: self.ready.clone() };
+        let refusal = match handshake.run(&mut socket, &self.cut, &self.stop).await {
+            Ok(Some(joined)) => return self.serve(joined, socket).await,
+            Ok(None) => return,
+            Err(refusal) => refusal.to_string(),
         };
+        let Socket { read, write, .. } = socket;
         let rejection = serde_json::json!({"@type": "reject", "reason": refusal});
         self.close(read, write, format!("{rejection}\n").as_bytes()).await;
     }
@@ -175,41 +154,10 @@
         }
     }
 
-    /// Waits for the joining; none if the caller has gone.
-    async fn handshake(
-        &mut self,
-        read: &mut OwnedReadHalf,
-        write: &mut OwnedWriteHalf,
-        lines: &mut Lines,
-    ) -> Result<Option<Joined>, String> {
-        loop {
-            while let Some(line) = lines.next(LARGEST_FIRST).map_err(|cause| cause.to_string())? {
-                match self.catalog.read(&line).map_err(|cause| cause.to_string())? {
-                    Message::Heartbeat => {
-                        let ready = self.ready.wait_for(|ready| *ready).await.is_ok();
-                        if !ready || write.write_all(HEARTBEAT).await.is_err() {
-                            return Ok(None);
-                        }
-                    }
-                    Message::Collector => return Ok(Some(Joined::Collector)),
-                    Message::Attach { proxy, zone, rate, fresh } => {
-                        return Ok(Some(Joined::Proxy { proxy, zone, rate, fresh }));
-                    }
-                    _ => return Err("a joining comes first".to_owned()),
-                }
-            }
-            lines.buffer().reserve(READ);
-            match read.read_buf(lines.buffer()).await {
-                Ok(0) | Err(_) => return Ok(None),
-                Ok(_) => {}
-            }
-        }
-    }
-
-    async fn serve(self, joined: Joined, mut read: OwnedReadHalf, mut write: OwnedWriteHalf, lines: Lines) {
+    async fn serve(self, joined: Joined, socket: Socket) {
+        let Socket { mut read, mut write, lines } = socket;
         let (stream, engine) = (self.stream, self.engine.clone());
-        self.connections.joined(stream);
-        self.connections.heard(stream, Instant::now());
+        self.connections.joined(stream, Instant::now());
         let mut outgoing = None;
         if let Joined::Proxy { proxy, zone, rate, fresh } = joined {
             outgoing = engine.open(stream, WAITING, self.cut.clone()).await;
