End a stop within its bound where the disk hangs, and test a member's endings

Change: the member's task leaves storage behind after two seconds (`storage_left_behind`), `Peers::stop` takes `&self` and is always called, and the program shuts its runtime down with a second's bound.

The set-up of the test that was there is shared now; what it checks is the same.

--- a/crates/stepspur-cli/src/main.rs
+++ b/crates/stepspur-cli/src/main.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use tracing_subscriber::EnvFilter;
@@ -188,6 +189,9 @@
     NotMet = 5,
 }
 
+/// A call of the system that has not ended so long after all tasks have is left behind: its disk hangs.
+const LEFT_BEHIND: Duration = Duration::from_secs(1);
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     // The platform gives a conductor part of a core: more threads would cost memory and bring nothing.
@@ -206,6 +210,8 @@
         eprintln!("stepspur: {error:#}");
         End::Failed
     });
+    // Dropping it would wait for ever for a thread in a call that hangs.
+    runtime.shutdown_timeout(LEFT_BEHIND);
     ExitCode::from(end as u8)
 }
 
--- a/crates/stepspur-cli/tests/council.rs
+++ b/crates/stepspur-cli/tests/council.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,8 @@
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
 /// Every wait of a test ends after this: it is no measure of speed.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// A process ends this long after SIGTERM at most: the conductor's grace, what it leaves behind, and room.
+const STOP_MOST: Duration = Duration::from_secs(15);
 
 /// Ended with the test, whatever becomes of it.
 struct Running {
@@ -67,41 +69,54 @@
     status["leader"].as_u64()
 }
 
+/// Three conductors' settings, and their state files.
+struct Council {
+    configs: Vec<PathBuf>,
+}
+
+impl Council {
+    fn found(folder: &Path) -> Self {
+        let ports: Vec<_> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        let places: String = (1..=3)
+            .map(|id| {
+                let at = ports[id - 1].local_addr().unwrap();
+                format!("[[council.conductors]]\nid = {id}\naddress = \"{at}\"\n")
+            })
+            .collect();
+        let example = std::fs::read_to_string(Path::new(ROOT).join("examples/conductor.toml")).unwrap();
+        let example = example
+            .replace("address = \"127.0.0.1:7400\"", "address = \"127.0.0.1:0\"")
+            .replace("address = \"127.0.0.1:7401\"", "address = \"127.0.0.1:0\"");
+        let disk = |id: usize| folder.join(format!("council-{id}.redb"));
+        let configs: Vec<_> = (1..=3)
+            .map(|id| {
+                let path = folder.join(format!("conductor-{id}.toml"));
+                let state = disk(id);
+                let council = format!(
+                    "[council]\nid = {id}\nstate = {state:?}\nelection = \"300ms\"\nheartbeat = \"60ms\"\n\
+                     renew = \"120ms\"\n{places}"
+                );
+                std::fs::write(&path, format!("{example}\n{council}")).unwrap();
+                path
+            })
+            .collect();
+        for (config, id) in configs.iter().zip(1..) {
+            let checked = stepspur(&["check"], config);
+            assert!(checked.status.success(), "{}", String::from_utf8_lossy(&checked.stderr));
+            assert!(stepspur(&["council", "found"], config).status.success());
+            let again = stepspur(&["council", "found"], config);
+            assert_eq!(again.status.code(), Some(1), "the state of {id} was made anew");
+        }
+        drop(ports);
+        Self { configs }
+    }
+}
+
 #[test]
 fn three_conductors_elect_a_leader_again_and_a_lost_disk_is_no_member() {
     let folder = tempfile::tempdir().unwrap();
-    let ports: Vec<_> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    let places: String = (1..=3)
-        .map(|id| {
-            let at = ports[id - 1].local_addr().unwrap();
-            format!("[[council.conductors]]\nid = {id}\naddress = \"{at}\"\n")
-        })
-        .collect();
-    let example = std::fs::read_to_string(Path::new(ROOT).join("examples/conductor.toml")).unwrap();
-    let example = example
-        .replace("address = \"127.0.0.1:7400\"", "address = \"127.0.0.1:0\"")
-        .replace("address = \"127.0.0.1:7401\"", "address = \"127.0.0.1:0\"");
+    let Council { configs } = Council::found(folder.path());
     let disk = |id: usize| folder.path().join(format!("council-{id}.redb"));
-    let configs: Vec<_> = (1..=3)
-        .map(|id| {
-            let path = folder.path().join(format!("conductor-{id}.toml"));
-            let state = disk(id);
-            let council = format!(
-                "[council]\nid = {id}\nstate = {state:?}\nelection = \"300ms\"\nheartbeat = \"60ms\"\n\
-                 renew = \"120ms\"\n{places}"
-            );
-            std::fs::write(&path, format!("{example}\n{council}")).unwrap();
-            path
-        })
-        .collect();
-    for (config, id) in configs.iter().zip(1..) {
-        let checked = stepspur(&["check"], config);
-        assert!(checked.status.success(), "{}", String::from_utf8_lossy(&checked.stderr));
-        assert!(stepspur(&["council", "found"], config).status.success());
-        let again = stepspur(&["council", "found"], config);
-        assert_eq!(again.status.code(), Some(1), "the state of {id} was made anew");
-    }
-    drop(ports);
 
     let mut running: Vec<Option<Running>> = configs.iter().map(|config| Some(run(config))).collect();
     let first = until(running[0].as_ref().unwrap(), "a leader", |s| leader(s).is_some());
@@ -157,3 +172,66 @@
     let line = example.lines().count() + 1 + 4;
     assert!(faults.contains(&format!("conductor.toml:{line}")), "{faults}");
 }
+
+/// Ends a process by SIGTERM, within a bound.
+fn terminate(running: &mut Running) -> Option<i32> {
+    let id = running.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    let end = Instant::now() + STOP_MOST;
+    loop {
+        if let Some(status) = running.child.try_wait().unwrap() {
+            return status.code();
+        }
+        assert!(Instant::now() < end, "it did not end {STOP_MOST:?} after SIGTERM");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn what_was_told_as_agreed_stays_when_leaders_are_stopped_in_mid_change() {
+    let folder = tempfile::tempdir().unwrap();
+    let council = Council::found(folder.path());
+    let mut running: Vec<Running> = council.configs.iter().map(|config| run(config)).collect();
+    let mut told = 0;
+    for round in 0..6 {
+        // Each lead begins with an entry of its own, so that a stopped leader is a change under way.
+        let asked = round % 3;
+        let first = until(&running[asked], "a leader", |s| {
+            leader(s).is_some() && s["applied"].as_u64().unwrap() >= told
+        });
+        told = first["applied"].as_u64().unwrap();
+        let at = leader(&first).unwrap() as usize - 1;
+        assert_eq!(terminate(&mut running[at]), Some(0));
+        // In one round of two all are stopped, so that nothing but their disks knows it.
+        if round % 2 == 1 {
+            for (k, member) in running.iter_mut().enumerate().filter(|(k, _)| *k != at) {
+                assert_eq!(terminate(member), Some(0), "{k}");
+            }
+            running = council.configs.iter().map(|config| run(config)).collect();
+        } else {
+            running[at] = run(&council.configs[at]);
+        }
+        for (k, member) in running.iter().enumerate() {
+            until(member, "what was told stays", |s| s["applied"].as_u64().unwrap() > told);
+            let status = until(member, "it votes", |s| s["votes"] == true);
+            assert_eq!(status["retired"], false, "{k}");
+        }
+    }
+}
+
+/// Reading it waits for a writer, for ever: so does a disk that hangs.
+#[test]
+fn a_stop_ends_while_the_list_of_servers_hangs() {
+    let folder = tempfile::tempdir().unwrap();
+    let council = Council::found(folder.path());
+    let fifo = folder.path().join("nodes.toml");
+    assert!(Command::new("mkfifo").arg(&fifo).status().unwrap().success());
+    let config = folder.path().join("hanging.toml");
+    let settings = std::fs::read_to_string(&council.configs[0]).unwrap();
+    let hanging = settings.replace("examples/nodes.toml", fifo.to_str().unwrap());
+    assert_ne!(settings, hanging);
+    std::fs::write(&config, hanging).unwrap();
+    let mut running = run(&config);
+    until(&running, "it runs", |s| s["id"] == 1);
+    assert_eq!(terminate(&mut running), Some(0));
+}
--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -309,7 +309,7 @@
             }
         }
         self.distribution.stop_control().await;
-        if let Some(council) = self.council.take().and_then(Arc::into_inner) {
+        if let Some(council) = self.council.take() {
             council.stop().await;
         }
         tracing::info!(event = "stopped", epoch = self.epoch);
--- a/crates/stepspur-peers/src/handle.rs
+++ b/crates/stepspur-peers/src/handle.rs
@@ -216,8 +216,9 @@
         answer.await.map_err(|_| Gone)
     }
 
-    /// Ends every task and waits for them, and for what the storage was given.
-    pub async fn stop(self) {
+    /// Ends every task and waits for them, and for what the storage was given; storage that hangs is left behind after
+    /// two seconds.
+    pub async fn stop(&self) {
         self.stop.cancel();
         self.tasks.close();
         self.tasks.wait().await;
--- a/crates/stepspur-peers/src/task.rs
+++ b/crates/stepspur-peers/src/task.rs
@@ -10,7 +10,7 @@
     Change, Command, DutyName, Index, Member, MemberId, Micros, Out, Peer, Refused, State, Token,
 };
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::events;
@@ -24,6 +24,9 @@
 /// A member that has nothing to do looks at its clock so often at most.
 const TICK_MIN: Duration = Duration::from_millis(1);
 
+/// Storage that has not written what it was given so long after a stop is left behind: it hangs.
+const LEFT_BEHIND: Duration = Duration::from_secs(2);
+
 /// What became of saves.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SaveProgress {
@@ -88,7 +91,7 @@
 }
 
 impl<S: State> MemberTask<S> {
-    /// Runs until stopped; then waits for the storage.
+    /// Runs until stopped; then waits for the storage, [`LEFT_BEHIND`] at most.
     pub(crate) async fn run(mut self, mut inputs: Inputs) {
         while let Some(out) = self.next(&mut inputs).await {
             self.act(out);
@@ -99,8 +102,10 @@
             self.publish();
         }
         self.leases.write().unwrap_or_else(PoisonError::into_inner).clear();
-        if let Some(storage) = self.storage.take() {
-            storage.close().await;
+        if let Some(storage) = self.storage.take()
+            && timeout(LEFT_BEHIND, storage.close()).await.is_err()
+        {
+            tracing::error!(event = "storage_left_behind", member = %self.id);
         }
     }
 
