Give each engine the settings without the other tenants, so that memory grows with them

Seen by the slope of tenants (docs/capacity/slopes.json): 1, 10, 100 and 1,000 tenants held 13, 14, 44 and 2,389 MiB, an exponent of 2 between the last two. Cause: Conductor::start gave each tenant's engine, and by it each prober, `Config { fleet, source, ..config.clone() }`, all tenants' settings among them. Ruled out: what an engine keeps itself, which is the same for each. Change: engines get the settings without further tenants, which none of them reads.

Measured (debug build, one process): 400 tenants cost 319 MB before, over the test's bound of 105 MB, which they keep now; the test fails without the change.

--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -202,12 +202,13 @@
             heart.start(source, &tied, &mut cores)
         };
         let own = identity.as_ref().map_or("", |i| i.tenant()).to_owned();
-        let inbox = start(config.clone(), source);
+        let alone = without_tenants(&config);
+        let inbox = start(alone.clone(), source);
         let mut tenants = BTreeMap::from([(own, inbox.clone())]);
         for (name, tenant) in &config.tenants {
             let (fleet, source) = (tenant.fleet.clone(), tenant.source.clone());
             let feed = source::from_config(&source);
-            tenants.insert(name.clone(), start(Config { fleet, source, ..config.clone() }, feed));
+            tenants.insert(name.clone(), start(Config { fleet, source, ..alone.clone() }, feed));
         }
         let tenants = Arc::new(tenants);
         let distribution = Distribution::start(&config, &member, &tenants, epoch).await?;
@@ -374,6 +375,24 @@
     }
 }
 
+/// The settings that each engine is given: all but the further tenants, of which an engine knows nothing. With them
+/// every engine and every prober would hold the settings of all tenants, so that memory grew with their square.
+fn without_tenants(config: &Config) -> Config {
+    Config {
+        fleet: config.fleet.clone(),
+        listen: config.listen.clone(),
+        channel: config.channel.clone(),
+        reports: config.reports.clone(),
+        probes: config.probes.clone(),
+        source: config.source.clone(),
+        status: config.status.clone(),
+        identity: config.identity.clone(),
+        council: config.council.clone(),
+        distribution: config.distribution.clone(),
+        tenants: BTreeMap::new(),
+    }
+}
+
 /// A task that a conductor cannot do without. If it ends before the conductor is stopped, by a panic too, that is
 /// logged and stops the conductor: proxies are told, and go to another.
 struct Needed {
--- /dev/null
+++ b/crates/stepspur-rehearsal/tests/tenants.rs
@@ -0,0 +1,54 @@
+//! Memory of a conductor with many tenants. The only test of its process, as it looks at the process's memory.
+
+use std::collections::BTreeMap;
+
+use stepspur_conductor::config::Tenant;
+use stepspur_conductor::{Conductor, Config, source};
+use stepspur_rehearsal::identity::DayKeys;
+
+const EXAMPLE: &str = include_str!("../../../examples/conductor.toml");
+/// Resident bytes that one more tenant with nobody joined may cost.
+const TENANT_BYTES_MOST: u64 = 256 << 10;
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+    line.trim().trim_end_matches("kB").trim().parse::<u64>().unwrap() << 10
+}
+
+fn config(keys: &DayKeys, tenants: usize) -> Config {
+    let mut config: Config = toml::from_str(EXAMPLE).unwrap();
+    config.listen.address = ([127, 0, 0, 1], 0).into();
+    config.status.address = None;
+    config.identity = Some(keys.config());
+    let tenant = || Tenant { fleet: config.fleet.clone(), source: config.source.clone() };
+    config.tenants = (0..tenants).map(|k| (format!("tenant-{k}"), tenant())).collect::<BTreeMap<_, _>>();
+    config
+}
+
+/// Each engine and each prober was given the settings of all tenants: 1,000 tenants held 2.4 GB.
+#[tokio::test]
+async fn one_more_tenant_costs_the_same_beside_many() {
+    let keys = DayKeys::new().unwrap();
+    let few = config(&keys, 50);
+    let many = config(&keys, 400);
+    let mut running = Vec::new();
+    let mut started = Vec::new();
+    for config in [few, many] {
+        let before = resident();
+        let source = source::from_config(&config.source);
+        running.push(Conductor::start(config, source).await.unwrap());
+        started.push(resident().saturating_sub(before));
+    }
+    for conductor in running {
+        conductor.stop().await;
+    }
+    let most = 400 * TENANT_BYTES_MOST;
+    assert!(
+        started[1] < most,
+        "50 tenants cost {} bytes, 400 cost {}, at most {most}",
+        started[0],
+        started[1]
+    );
+}
