--- a/crates/stepspur-stories/tests/distribution.rs
+++ b/crates/stepspur-stories/tests/distribution.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use stepspur_distribution::document::{Change, Key};
+use stepspur_distribution::store::Kept;
 use stepspur_distribution::subscriber::SubscriberStatus;
 use stepspur_distribution::version::Version;
 use stepspur_stories::distribution::{ControlFleet, REGIONS};
@@ -208,17 +210,39 @@
     sound(&mut fleet).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn slow_engines_are_not_said_to_act_before_they_do() {
+    let mut fleet = fleet(12).await;
+    for name in fleet.names() {
+        fleet.engine(&name).takes(Duration::from_millis(900));
+    }
+    for _ in 0..10 {
+        fleet.propose_drawn(1).await;
+        fleet.pass(Duration::from_secs(3)).await;
+    }
+    fleet.settles(ELSEWHERE, &[]).await;
+    sound(&mut fleet).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_older_disk_is_put_back() {
     let mut fleet = fleet(11).await;
     let name = fleet.names()[3].clone();
     let older = fleet.kept(&name);
     fleet.propose_drawn(20).await;
+    // Something that the older disk holds stands no longer.
+    let lifted = older.as_ref().and_then(|kept| kept.documents.first()).expect("it holds a document").clone();
+    let Key { scope, target } = lifted.key;
+    fleet.propose(vec![Change { scope, target, setting: None }]).await;
     fleet.settles(IN_FORCE, &[]).await;
-    fleet.put_back(&name, older).await;
+    fleet.put_back(&name, older.clone()).await;
     fleet.settles(IN_FORCE, &[]).await;
     fleet.put_back(&name, None).await;
     fleet.settles(IN_FORCE, &[]).await;
+    // As after its interest has grown: old documents are in force, and all is asked for.
+    let older = older.map(|kept| Kept { version: Version::NONE, ..kept });
+    fleet.put_back(&name, older).await;
+    fleet.settles(IN_FORCE, &[]).await;
     fleet.propose_drawn(3).await;
     fleet.settles(IN_FORCE, &[]).await;
     sound(&mut fleet).await;
