--- a/crates/stepspur-scale/src/capacity/fleet.rs
+++ b/crates/stepspur-scale/src/capacity/fleet.rs
@@ -11,12 +11,17 @@
 
 /// Runs of the scale rig: what `fleet --json` wrote, one run or several sizes.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(untagged)]
-pub enum Fleet {
-    /// Several runs.
-    Several(Vec<Report>),
-    /// One run.
-    One(Box<Report>),
+pub struct Fleet {
+    /// The runs.
+    runs: Vec<Report>,
+    /// How figures grow with conductors over the runs.
+    growth: Vec<Growth>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Growth {
+    what: String,
+    exponent: Option<f64>,
 }
 
 /// What the page tells of a run.
@@ -92,12 +97,16 @@
 
 /// The runs as tables; without one, a line that says so.
 pub fn table(fleet: Option<&Fleet>) -> String {
-    let reports = match fleet {
-        None => return "*The scale run's figures come here; none is given yet.*".to_owned(),
-        Some(Fleet::Several(reports)) => reports.as_slice(),
-        Some(Fleet::One(report)) => std::slice::from_ref(report.as_ref()),
+    let Some(Fleet { runs, growth }) = fleet else {
+        return "*The scale run's figures come here; none is given yet.*".to_owned();
     };
-    reports.iter().map(run).collect::<Vec<_>>().join("\n")
+    let mut text = runs.iter().map(run).collect::<Vec<_>>().join("\n");
+    for Growth { what, exponent } in growth {
+        if let Some(exponent) = exponent {
+            let _ = writeln!(text, "\nGrowth with conductors, {what}: exponent {}.", rounded(*exponent));
+        }
+    }
+    text
 }
 
 fn run(report: &Report) -> String {
--- a/crates/stepspur-scale/src/capacity/tests.rs
+++ b/crates/stepspur-scale/src/capacity/tests.rs
@@ -231,3 +231,29 @@
     assert_eq!(metrics(&again), metrics(&slopes));
     assert!(serde_json::from_str::<Slopes>(r#"{"cores": 8}"#).is_err());
 }
+
+#[test]
+fn a_scale_run_is_told_with_its_phases_and_growth() {
+    let spread = r#"{"count": 3, "p50_ms": 1.0, "p99_ms": 2.0, "most_ms": 30.0}"#;
+    let text = format!(
+        r#"{{"runs": [{{"seed": 1, "fleet": {{"conductors": 150, "real": 24, "controls": 15, "servers": 19000}},
+            "start": {{"hollow_ms": 900.0, "real_ms": 1100.0}}, "verdict": {{"named": []}},
+            "phases": [{{"name": "mean", "changes": 200, "level_ms": null,
+                "travel": {{"in_force": {spread}, "at_proxies": {spread}, "missing": 4}},
+                "usage": {{"real_conductor":
+                    {{"cpu_percent": 1.5, "resident_mb": 20.0, "bytes_per_s_with_headers": 812.0}}}}}}]}}],
+            "growth": [{{"what": "leader: bytes a second", "points": [], "exponent": 0.031}},
+                {{"what": "none", "points": [], "exponent": null}}]}}"#
+    );
+    let fleet: fleet::Fleet = serde_json::from_str(&text).unwrap();
+    let table = fleet::table(Some(&fleet));
+    for wanted in [
+        "**150 conductors**, 24 of them real, 15 control members, 19000 servers",
+        "| mean | 200 | 1.00, 2.00, 30.0 | 1.00, 2.00, 30.0 | 4 |  |",
+        "| mean | real conductor | 1.50 | 20.0 | 812 |",
+        "leader: bytes a second: exponent 0.0310.",
+    ] {
+        assert!(table.contains(wanted), "{wanted}: {table}");
+    }
+    assert!(!table.contains("none: exponent"));
+}
