--- a/crates/stepspur-distribution/src/control/messages.rs
+++ b/crates/stepspur-distribution/src/control/messages.rs
@@ -24,12 +24,7 @@
 }
 
 fn addresses(members: &[ControlMember]) -> Vec<v1::ControlAddress> {
-    let address = |member: &ControlMember| v1::ControlAddress {
-        id: member.id,
-        address: member.address.to_string(),
-        region: member.region.clone(),
-    };
-    members.iter().map(address).collect()
+    members.iter().cloned().map(v1::ControlAddress::from).collect()
 }
 
 pub(crate) fn micros(span: Duration) -> u64 {
--- a/crates/stepspur-distribution/src/control/settings.rs
+++ b/crates/stepspur-distribution/src/control/settings.rs
@@ -3,16 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A control member, as subscribers and other control members find it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ControlMember {
-    /// Its identity in the council.
-    pub id: u64,
-    /// Where it serves subscribers.
-    pub address: SocketAddr,
-    /// Where it stands.
-    pub region: String,
-}
+pub use crate::placement::ControlMember;
 
 /// What a control member is started with.
 #[derive(Clone, Debug)]
