Add the scale run of the distribution, hollow conductors and a judge of what was seen

The aims of the distribution are for 2,400 conductors; nothing showed them. `stepspur-scale fleet` starts control members and some conductors as processes of the real program, the others as hollow ones (the program's own subscriber, many to a process), proposes changes at the operators' endpoint over HTTPS, measures by role, breaks things from a seed, and has a judge hold what was recorded against what was agreed: same documents, versions never back, no early acknowledgement, no false "everywhere", a healed region level in time.

--- /dev/null
+++ b/crates/stepspur-scale/src/fleet/changes/tests.rs
@@ -0,0 +1,63 @@
+//! Schedules as they are drawn.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use stepspur_distribution::document::{Key, Setting, Target};
+
+use super::super::plan::{Plan, Sizes};
+use super::{Schedule, proposals};
+
+fn plan() -> Arc<Plan> {
+    let sizes = Sizes { conductors: 150, real: 24, servers: None, controls: 15 };
+    let address = |k: usize| SocketAddr::from(([127, 16, (k / 250) as u8, (k % 250) as u8], 9_000));
+    let servers: Vec<SocketAddr> = (0..sizes.server_count()).map(address).collect();
+    Arc::new(Plan::draw(5, sizes, &servers))
+}
+
+#[test]
+fn every_change_is_sound_and_changes_something() {
+    let plan = plan();
+    let mut schedule = Schedule::new(Arc::clone(&plan), 5);
+    let mut stands: BTreeMap<Key, Option<Setting>> = BTreeMap::new();
+    let mut changes = schedule.preload();
+    changes.extend((0..2_000).map(|_| schedule.draw()));
+    for change in changes {
+        change.check().unwrap();
+        let before = stands.insert(change.key(), change.setting).flatten();
+        assert_ne!(before, change.setting, "{change:?}");
+    }
+}
+
+#[test]
+fn a_real_conductor_has_one_document_for_each_class_and_knows_its_servers() {
+    let plan = plan();
+    let mut schedule = Schedule::new(Arc::clone(&plan), 5);
+    let mut changes = schedule.preload();
+    changes.extend((0..2_000).map(|_| schedule.draw()));
+    for conductor in plan.real() {
+        let mut keys: BTreeMap<Target, Key> = BTreeMap::new();
+        for change in changes.iter().filter(|change| conductor.interest.covers(&change.scope)) {
+            let key = keys.entry(change.target.clone()).or_insert_with(|| change.key());
+            assert_eq!(*key, change.key());
+            if let Target::Server(server) = &change.target {
+                assert!(plan.services[conductor.services[0]].servers.contains(server));
+            }
+        }
+    }
+}
+
+#[test]
+fn proposals_name_no_key_twice_and_keep_the_order() {
+    let plan = plan();
+    let mut schedule = Schedule::new(Arc::clone(&plan), 5);
+    let changes: Vec<_> = (0..500).map(|_| schedule.draw()).collect();
+    let proposals = proposals(changes.clone(), 64);
+    assert_eq!(proposals.concat(), changes);
+    for proposal in proposals {
+        assert!((1..=64).contains(&proposal.len()));
+        let keys: std::collections::BTreeSet<Key> = proposal.iter().map(|change| change.key()).collect();
+        assert_eq!(keys.len(), proposal.len());
+    }
+}
--- /dev/null
+++ b/crates/stepspur-scale/src/fleet/measure/tests.rs
@@ -0,0 +1,44 @@
+//! Sums of looks at processes.
+
+use std::collections::BTreeMap;
+
+use super::{Role, Second, Span, Watched, usage_by_role};
+use crate::fleet::sockets::{HEADER_BYTES, Traffic};
+
+fn span(cpu_s: f64, bytes: u64) -> Span {
+    let traffic = Traffic { read: bytes, written: 0, messages: 1, segments: 2 };
+    Span { seconds: 1.0, cpu_s, resident: 60_000_000, traffic, to_control: Traffic::default() }
+}
+
+#[test]
+fn means_and_worst_seconds_are_of_one_member() {
+    let control = Watched { role: Role::Control, members: 1 };
+    let hollow = Watched { role: Role::HollowConductor, members: 60 };
+    let mut of_hollow = span(0.6, 6_000);
+    of_hollow.to_control = of_hollow.traffic;
+    let seconds: Vec<Second> = vec![
+        BTreeMap::from([
+            (1, (control, span(0.1, 1_000))),
+            (2, (control, span(0.3, 0))),
+            (3, (hollow, of_hollow)),
+        ]),
+        BTreeMap::from([(1, (control, span(0.0, 0))), (2, (control, span(0.0, 0)))]),
+    ];
+    let usage = usage_by_role(&seconds);
+    let control = usage[&Role::Control];
+    assert_eq!(control.members, 2);
+    assert!((control.cpu_percent - 10.0).abs() < 1e-9 && (control.cpu_percent_worst - 30.0).abs() < 1e-9);
+    assert!((control.bytes_per_s - 250.0).abs() < 1e-9);
+    assert!((control.bytes_per_s_worst - (1_000 + 2 * HEADER_BYTES) as f64).abs() < 1e-9);
+    let hollow = usage[&Role::HollowConductor];
+    assert_eq!(hollow.members, 60);
+    assert!((hollow.cpu_percent - 1.0).abs() < 1e-9 && (hollow.resident_mb - 1.0).abs() < 1e-9);
+    assert!((hollow.bytes_per_s - 100.0).abs() < 1e-9);
+}
+
+#[test]
+fn of_subscribers_only_what_passes_with_control_counts() {
+    let real = Watched { role: Role::RealConductor, members: 1 };
+    let seconds: Vec<Second> = vec![BTreeMap::from([(1, (real, span(0.01, 9_000)))])];
+    assert_eq!(usage_by_role(&seconds)[&Role::RealConductor].bytes_per_s, 0.0);
+}
--- /dev/null
+++ b/crates/stepspur-scale/src/fleet/plan/tests.rs
@@ -0,0 +1,59 @@
+//! Fleets as they are drawn.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use super::{FULL_CONDUCTORS, Plan, ROUTES_MOST, Sizes, VOTERS};
+
+const FULL: Sizes = Sizes { conductors: FULL_CONDUCTORS, real: 24, servers: None, controls: 15 };
+
+fn draw(seed: u64, sizes: Sizes) -> Plan {
+    let address = |k: usize| SocketAddr::from(([127, 16, (k / 250) as u8, (k % 250) as u8], 9_000));
+    let servers: Vec<SocketAddr> = (0..sizes.server_count()).map(address).collect();
+    Plan::draw(seed, sizes, &servers)
+}
+
+#[test]
+fn the_full_fleet_has_the_users_sizes() {
+    let plan = draw(1, FULL);
+    assert_eq!(plan.conductors.len(), 2_400);
+    assert_eq!((plan.real().len(), plan.hollow().len()), (24, 2_376));
+    assert_eq!((plan.regions.len(), plan.services.len(), plan.servers()), (22, 930, 19_000));
+    let tenants: usize = plan.services.iter().map(|service| service.tenants.len()).sum();
+    assert_eq!(tenants, 99_000);
+    let routes: usize = plan.services.iter().map(|service| service.routes).sum();
+    assert!((10_000..=12_500).contains(&routes), "{routes}");
+    assert!(plan.services.iter().all(|service| service.routes <= ROUTES_MOST && !service.servers.is_empty()));
+    assert_eq!(plan.control.iter().filter(|member| member.votes).count(), VOTERS);
+    let servers: BTreeSet<_> = plan.services.iter().flat_map(|service| &service.servers).collect();
+    assert_eq!(servers.len(), 19_000, "each server has one service");
+}
+
+#[test]
+fn every_interest_is_sound_and_every_service_has_a_conductor() {
+    let plan = draw(7, FULL);
+    let mut seen = BTreeSet::new();
+    for conductor in &plan.conductors {
+        let sorted = conductor.interest.clone().sorted().unwrap();
+        assert_eq!(sorted, conductor.interest, "an interest is drawn sorted");
+        seen.extend(conductor.services.iter().copied());
+    }
+    assert_eq!(seen.len(), plan.services.len());
+    let cut = plan.region_without_real().expect("a region without a real conductor");
+    assert!(plan.real().iter().all(|conductor| conductor.interest.region != cut));
+}
+
+#[test]
+fn the_same_seed_draws_the_same_fleet_and_another_one_another() {
+    let drawn = |seed| format!("{:?}", draw(seed, Sizes { conductors: 150, ..FULL }));
+    assert_eq!(drawn(3), drawn(3));
+    assert_ne!(drawn(3), drawn(4));
+}
+
+#[test]
+fn a_small_fleet_is_a_fleet_still() {
+    let plan = draw(1, Sizes { conductors: 22, real: 2, servers: None, controls: 3 });
+    assert_eq!((plan.real().len(), plan.hollow().len(), plan.control.len()), (2, 20, 3));
+    assert!(plan.services.len() >= 4 && plan.regions.len() >= 2);
+    assert!(plan.region_without_real().is_some());
+}
--- /dev/null
+++ b/crates/stepspur-scale/src/fleet/proxies/tests.rs
@@ -0,0 +1,51 @@
+//! Orders as a proxy reads them.
+
+use std::net::SocketAddr;
+
+use stepspur_distribution::document::{Change, Scope, Setting, Target};
+use stepspur_proto::v1;
+
+use super::{Ordered, Table};
+
+fn server(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 16, 0, 1], port))
+}
+
+fn line(port: u16, weight: f32) -> v1::Line {
+    v1::Line { server: Some(server(port).into()), weight }
+}
+
+fn withdrawal(port: u16, out: bool) -> v1::Withdrawal {
+    v1::Withdrawal { server: Some(server(port).into()), out }
+}
+
+#[test]
+fn what_changes_for_requests_is_told_and_nothing_else() {
+    let mut table = Table { classes: vec!["read".into(), "write".into()], ..Table::default() };
+    let whole = v1::Table { lines: vec![line(1, 1.0), line(2, 0.0)], ..Default::default() };
+    let first = table.take(v1::Order { table: Some(whole), ..Default::default() });
+    assert_eq!(first, [Ordered::Released(server(1))]);
+    let drained = table.take(v1::Order { lines: vec![line(1, 0.0), line(2, 0.5)], ..Default::default() });
+    assert_eq!(drained, [Ordered::Held(server(1)), Ordered::Released(server(2))]);
+    let withdrawn = table.take(v1::Order { withdrawals: vec![withdrawal(2, true)], ..Default::default() });
+    assert_eq!(withdrawn, [Ordered::Held(server(2))]);
+    assert!(table.take(v1::Order { lines: vec![line(2, 0.7)], ..Default::default() }).is_empty());
+    let admit = Some(v1::level::Admit::Share(0.25));
+    let level = v1::Level { class: 1, resend: 0, admit };
+    let capped = table.take(v1::Order { levels: vec![level], ..Default::default() });
+    assert_eq!(capped, [Ordered::Level { class: "write".into(), ppm: 250_000.0 }]);
+}
+
+#[test]
+fn an_order_is_held_against_the_change_it_must_do() {
+    let change = |target, setting| Change { scope: Scope::default(), target, setting };
+    let level = change(Target::Class("write".into()), Some(Setting::LevelPpm(333_333)));
+    let share = f64::from(333_333.0_f32 / 1e6) * 1e6;
+    assert!(Ordered::Level { class: "write".into(), ppm: share }.does(&level));
+    assert!(!Ordered::Level { class: "write".into(), ppm: 333_335.0 }.does(&level));
+    assert!(!Ordered::Level { class: "read".into(), ppm: share }.does(&level));
+    let (held, lifted) =
+        (change(Target::Server(server(1)), Some(Setting::Draining)), change(Target::Server(server(1)), None));
+    assert!(Ordered::Held(server(1)).does(&held) && !Ordered::Held(server(1)).does(&lifted));
+    assert!(Ordered::Released(server(1)).does(&lifted) && !Ordered::Released(server(2)).does(&lifted));
+}
--- a/crates/stepspur-scale/src/main.rs
+++ b/crates/stepspur-scale/src/main.rs
@@ -4,7 +4,9 @@
 
 mod capacity;
 mod fit;
+mod fleet;
 mod hollow;
+mod hollow_conductors;
 mod program;
 mod slopes;
 mod traffic;
@@ -26,6 +28,18 @@
     Slopes(slopes::SlopesArgs),
     /// Writes the tables of docs/CAPACITY.md from measured slopes.
     Capacity(capacity::CapacityArgs),
+    /// The distribution of configuration at full size, under change and faults, judged.
+    Fleet(fleet::FleetArgs),
+    /// Hollow conductors, driven over standard input; started by `fleet`.
+    #[command(hide = true)]
+    Hollow,
+    /// Hollow servers; started by `fleet`.
+    #[command(hide = true)]
+    HollowServers {
+        /// As many.
+        #[arg(long)]
+        count: usize,
+    },
     /// A council's member without a conductor; started by `slopes`.
     #[command(hide = true)]
     Member(slopes::member::MemberArgs),
@@ -35,6 +49,9 @@
 async fn main() -> anyhow::Result<()> {
     match Arguments::parse().command {
         Command::Slopes(args) => slopes::run(args).await,
+        Command::Fleet(args) => fleet::run(args).await,
+        Command::Hollow => hollow_conductors::run().await,
+        Command::HollowServers { count } => fleet::servers::run(count).await,
         Command::Capacity(args) => capacity::run(args),
         Command::Member(args) => slopes::member::run(args).await,
     }
