--- a/crates/stepspur-scale/src/fleet/plan.rs
+++ b/crates/stepspur-scale/src/fleet/plan.rs
@@ -145,13 +145,14 @@
         self.services.iter().map(|service| service.servers.len()).sum()
     }
 
-    /// A region in which conductors stand and no real one, whose links a run can cut.
+    /// The region with the most conductors of those without a real one: a run can cut its links.
     pub fn region_without_real(&self) -> Option<&str> {
-        let stands = |conductors: &[Conductor], region: &String| {
-            conductors.iter().any(|conductor| conductor.interest.region == *region)
+        let count = |conductors: &[Conductor], region: &String| {
+            conductors.iter().filter(|conductor| conductor.interest.region == *region).count()
         };
-        let found = self.regions.iter().find(|r| !stands(self.real(), r) && stands(self.hollow(), r));
-        found.map(String::as_str)
+        let hollow = self.regions.iter().filter(|region| count(self.real(), region) == 0);
+        let largest = hollow.max_by_key(|region| count(self.hollow(), region))?;
+        (count(self.hollow(), largest) > 0).then_some(largest.as_str())
     }
 }
 
--- a/crates/stepspur-scale/src/fleet/run.rs
+++ b/crates/stepspur-scale/src/fleet/run.rs
@@ -17,8 +17,8 @@
 
 use super::changes::{Schedule, proposals};
 use super::cluster::Cluster;
-use super::history::{Agreed, Answered, Micros, Participant, SubscriberId, now};
-use super::latency::{Applications, level, travel};
+use super::history::{Agreed, Answered, History, Micros, Participant, SubscriberId, now};
+use super::latency::{Applications, Travel, level, travel};
 use super::operators::{Operations, Operator, Proposed};
 use super::record::Recorder;
 use super::report::{FullStart, Phase, Swap};
@@ -43,6 +43,8 @@
 const ASKED_FOR: Duration = Duration::from_secs(10);
 /// At the end of changes the last version is asked for so long at most.
 const LAST_ASKED_FOR: Duration = Duration::from_secs(5);
+/// Changes that proxies were never ordered and that are named, at most.
+const NAMED_MOST: usize = 5;
 /// What is under way at the end of a phase arrives within this: memory and answers lag behind the last change.
 const SETTLE: Duration = Duration::from_millis(300);
 
@@ -237,8 +239,10 @@
         self.cluster.report().await?;
         let changes = self.cluster.recorder.look(|history| history.agreed.len()) - begun.changes;
         let places = begun.changes..begun.changes + changes;
+        let (travel, never) = self.travel(places);
+        begun.notes.extend(never);
         let phase = Phase {
-            travel: self.travel(places),
+            travel,
             name: begun.name,
             seconds,
             changes,
@@ -259,23 +263,36 @@
         level.map_or(0.0, |at| (at - since) as f64 / 1e3)
     }
 
-    fn travel(&self, places: Range<usize>) -> super::latency::Travel {
-        let cluster = &self.cluster;
+    /// How changes travelled, and in words some of those that proxies were never ordered.
+    fn travel(&self, places: Range<usize>) -> (Travel, Vec<String>) {
+        let never = std::cell::RefCell::new(Vec::new());
         let at_proxies = |agreed: &Agreed| {
-            let mut last = None;
-            for change in &agreed.changes {
-                for conductor in &cluster.real {
-                    let planned = &cluster.plan.conductors[conductor.id.0 as usize];
-                    if !planned.interest.covers(&change.scope) {
-                        continue;
-                    }
-                    let at = cluster.proxies.ordered(conductor.id, change, agreed.proposed);
+            let at = self.at_proxies(agreed);
+            if let Err(id) = at {
+                never.borrow_mut().push(format!("never at the proxies of {id:?}: {:?}", agreed.changes));
+            }
+            at
+        };
+        let look = |history: &History| travel(history, &Applications::of(history), places, at_proxies);
+        let travelled = self.cluster.recorder.look(look);
+        let mut never = never.into_inner();
+        never.truncate(NAMED_MOST);
+        (travelled, never)
+    }
+
+    /// When the last proxy of the last real conductor that the changes concern was ordered them.
+    fn at_proxies(&self, agreed: &Agreed) -> Result<Option<Micros>, SubscriberId> {
+        let mut last = None;
+        for change in &agreed.changes {
+            for conductor in &self.cluster.real {
+                let planned = &self.cluster.plan.conductors[conductor.id.0 as usize];
+                if planned.interest.covers(&change.scope) {
+                    let at = self.cluster.proxies.ordered(conductor.id, change, agreed.proposed);
                     last = last.max(Some(at.ok_or(conductor.id)?));
                 }
             }
-            Ok(last)
-        };
-        cluster.recorder.look(|history| travel(history, &Applications::of(history), places, at_proxies))
+        }
+        Ok(last)
     }
 
     /// Makes changes one by one at a pace; an endpoint is asked all the while where the last one is in force.
