--- a/crates/stepspur-scale/src/fleet/proxies.rs
+++ b/crates/stepspur-scale/src/fleet/proxies.rs
@@ -16,7 +16,7 @@
     Frames, FromConductor, FromProxy, LARGEST_FRAME, VERSION, address_of, from_conductor, from_proxy, v1,
 };
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{interval, sleep, timeout};
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -28,6 +28,10 @@
 const REDIAL: Duration = Duration::from_millis(200);
 /// A conductor says something within this, or the stream is dead.
 const SILENCE_MOST: Duration = Duration::from_secs(30);
+/// A proxy says something this often, until its conductor has said how often it must.
+const PING_EVERY: Duration = Duration::from_secs(5);
+/// No conductor is pinged more often, in microseconds.
+const KEEP_ALIVE_LEAST_US: u64 = 100_000;
 /// Shares come as 32-bit floats.
 const SHARE_ROUNDING_PPM: f64 = 1.0;
 
@@ -144,21 +148,30 @@
     };
     frames.send(FromProxy::new(0, 0, from_proxy::Kind::Hello(hello))).await?;
     let mut table = Table::default();
+    // Until the conductor has said how often.
+    let mut pings = interval(PING_EVERY);
+    pings.reset();
     loop {
-        let Some(frame) = timeout(SILENCE_MOST, frames.next()).await? else { bail!("closed") };
+        let read = tokio::select! {
+            _ = pings.tick() => {
+                frames.send(FromProxy::new(0, 0, from_proxy::Kind::Ping(v1::Ping { token: 0 }))).await?;
+                continue;
+            }
+            read = timeout(SILENCE_MOST, frames.next()) => read?,
+        };
+        let Some(frame) = read else { bail!("closed") };
         let FromConductor { epoch, sequence, kind } = frame?;
         let answer = match kind {
             Some(from_conductor::Kind::Welcome(welcome)) => {
+                // A side that is silent for thrice as long is taken for dead.
+                pings = interval(Duration::from_micros(welcome.keepalive_us.max(KEEP_ALIVE_LEAST_US)));
+                pings.reset();
                 table.classes = welcome.classes;
                 continue;
             }
             Some(from_conductor::Kind::Order(order)) => {
                 let mark = order.mark;
-                let at = now();
-                let ordered = table.take(order);
-                let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
-                log.extend(ordered.into_iter().map(|ordered| (at, ordered)));
-                drop(log);
+                note(log, table.take(order));
                 let Some(mark) = mark else { continue };
                 from_proxy::Kind::Applied(v1::Applied { mark, took_us: 0 })
             }
@@ -172,6 +185,13 @@
     }
 }
 
+/// Notes what was ordered just now.
+fn note(log: &Log, ordered: Vec<Ordered>) {
+    let at = now();
+    let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+    log.extend(ordered.into_iter().map(|ordered| (at, ordered)));
+}
+
 /// What a proxy holds.
 #[derive(Debug, Default)]
 struct Table {
--- a/crates/stepspur-scale/src/fleet/proxies/tests.rs
+++ b/crates/stepspur-scale/src/fleet/proxies/tests.rs
@@ -1,11 +1,18 @@
 //! Orders as a proxy reads them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use futures_util::{SinkExt, StreamExt};
 use stepspur_distribution::document::{Change, Scope, Setting, Target};
-use stepspur_proto::v1;
+use stepspur_proto::{Frames, FromConductor, FromProxy, LARGEST_FRAME, from_conductor, from_proxy, v1};
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
 
-use super::{Ordered, Table};
+use super::{Log, Ordered, Table, stream};
+
+const PATIENCE: Duration = Duration::from_secs(20);
 
 fn server(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 16, 0, 1], port))
@@ -49,3 +56,23 @@
     assert!(Ordered::Held(server(1)).does(&held) && !Ordered::Held(server(1)).does(&lifted));
     assert!(Ordered::Released(server(1)).does(&lifted) && !Ordered::Released(server(2)).does(&lifted));
 }
+
+/// In the first run at full size conductors cut all proxies off every 15 s: they had said nothing.
+#[tokio::test]
+async fn a_proxy_with_nothing_to_say_pings_as_often_as_its_conductor_asks() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let proxy = tokio::spawn(async move { stream(address, "p", "a", &Log::default()).await });
+    let (socket, _) = timeout(PATIENCE, listener.accept()).await.unwrap().unwrap();
+    let mut frames = Framed::new(socket, Frames::<FromProxy, FromConductor>::new(LARGEST_FRAME));
+    let hello = timeout(PATIENCE, frames.next()).await.expect("in time").unwrap().unwrap().kind;
+    assert!(matches!(hello, Some(from_proxy::Kind::Hello(_))));
+    let welcome = v1::Welcome { keepalive_us: 100_000, ..Default::default() };
+    frames.send(FromConductor::new(1, 0, from_conductor::Kind::Welcome(welcome))).await.unwrap();
+    for _ in 0..2 {
+        let said = timeout(PATIENCE, frames.next()).await.expect("in time").unwrap().unwrap().kind;
+        assert!(matches!(said, Some(from_proxy::Kind::Ping(_))), "{said:?}");
+    }
+    drop(frames);
+    assert!(timeout(PATIENCE, proxy).await.expect("it ends").unwrap().is_err());
+}
