Word who leads in the answer of a control member that does not

StandingError::NotLeader printed `Some(3) does`. It says `member 3 does`, or that nobody is known. cargo check of the crate with its tests passes; the operators' endpoint words its answer itself and is unchanged.

--- a/crates/stepspur-distribution/src/control/standing.rs
+++ b/crates/stepspur-distribution/src/control/standing.rs
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum StandingError {
     /// Another member leads, or none: only the leader knows.
-    #[error("this control member does not lead; {leader:?} does")]
+    #[error("this control member does not lead; {}", .leader.map_or("nobody that it knows of does".to_owned(), |id| format!("member {id} does")))]
     NotLeader {
         /// Who leads, if known.
         leader: Option<u64>,
