--- a/crates/stepspur-cli/tests/council.rs
+++ b/crates/stepspur-cli/tests/council.rs
@@ -1,5 +1,6 @@
 //! `[council]` in `stepspur run`: three processes of the program, killed, restarted and robbed of a disk.
 
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
@@ -34,16 +35,19 @@
 }
 
 fn run(config: &Path) -> Running {
+    let log = config.with_extension("log");
     let mut child = Command::new(PROGRAM)
         .args(["run", "--log", "warn", "--config", config.to_str().unwrap()])
         .current_dir(ROOT)
         .stdout(Stdio::piped())
-        .stderr(Stdio::null())
+        .stderr(File::create(&log).unwrap())
         .spawn()
         .unwrap();
     let mut line = String::new();
     BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    let said: Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e}: {line:?}"));
+    let said: Value = serde_json::from_str(&line).unwrap_or_else(|fault| {
+        panic!("{fault}: {line:?}: {}", std::fs::read_to_string(&log).unwrap_or_default())
+    });
     let status = said["status"].as_str().unwrap().to_owned();
     Running { child, status }
 }
