Take stepspur bench apart, one job a file, and let it wait for what happens

crates/stepspur-cli/src/bench.rs had 670 lines and six jobs: the conductor under measurement, proxies' streams, drains, the bare writes beside them, churn, and joins with identity. It is a folder now, a file for each, with settings, times and the report apart; names are whole, results typed.

Sleeps that stood for events are waits for them. A conductor has read its list once it waits for the next change: the stand-in list counts long polls that wait (`Registry::polls`, `polled`).

--- /dev/null
+++ b/crates/stepspur-cli/src/bench/conductor.rs
@@ -0,0 +1,156 @@
+//! The conductor under measurement: its settings, its list of servers, and its process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use stepspur_conductor::Config;
+use stepspur_conductor::config::Source;
+use stepspur_conductor::source::{NodeRecord, NodeState};
+use stepspur_proto::{FromProxy, VERSION, frame, from_proxy, v1};
+use stepspur_rehearsal::Launcher;
+use stepspur_rehearsal::launch::Running;
+use stepspur_rehearsal::registry::Registry;
+use stepspur_rehearsal::scenario::{BAD_DAY, Scenario};
+use stepspur_rehearsal::trace::Trace;
+use stepspur_rehearsal::usage::Usage;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use super::settings::BenchArgs;
+use super::stream::{Observation, follow};
+use super::{LARGEST_PLAIN_FRAME, PATIENCE};
+
+/// A long poll of the list of servers is answered within this.
+const POLL: Duration = Duration::from_secs(5);
+/// A proxy that is slow to acknowledge holds up the measurement, and is not cut off.
+const MARK_TIMEOUT: Duration = Duration::from_secs(30);
+/// Lines that may wait: more than ever do.
+const LINES_WAITING_MOST: f64 = 1e9;
+/// The port of servers that nobody dials.
+const UNUSED_PORT: u16 = 80;
+
+/// The settings to start a conductor by, and the list of servers that it reads.
+pub struct BenchConductor {
+    pub config: Config,
+    pub registry: Arc<Registry>,
+    launcher: Launcher,
+    stop: CancellationToken,
+}
+
+impl BenchConductor {
+    /// Serves a list of servers that are all ready. No conductor runs yet.
+    pub async fn new(args: &BenchArgs) -> anyhow::Result<Self> {
+        let registry = Registry::new(Arc::new(Trace::default()));
+        let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        tokio::spawn(Arc::clone(&registry).serve(0, listener, stop.clone()));
+        let config = config(args, address)?;
+        let launcher = Launcher::Program(std::env::current_exe()?);
+        let conductor = Self { config, registry, launcher, stop };
+        conductor.set_states(0..args.servers, NodeState::Ready);
+        Ok(conductor)
+    }
+
+    /// Lists these servers in a state, all at once.
+    pub fn set_states(&self, servers: impl IntoIterator<Item = usize>, state: NodeState) {
+        self.registry.set(servers.into_iter().map(|number| self.node(number, state)));
+    }
+
+    /// Addresses that nobody dials: probes are off.
+    fn node(&self, number: usize, state: NodeState) -> NodeRecord {
+        let address = SocketAddr::from(([127, 1, (number >> 8) as u8, number as u8], UNUSED_PORT));
+        NodeRecord { address, zone: self.zone(number).to_owned(), state, weight: 1.0, started_unix_ms: 0 }
+    }
+
+    /// The zone of the server, and of the proxy, with this number.
+    pub fn zone(&self, number: usize) -> &str {
+        let zones = &self.config.fleet.zones;
+        &zones[number % zones.len()]
+    }
+
+    /// The first frame of the proxy with this number.
+    pub fn hello(&self, number: usize) -> FromProxy {
+        let hello = v1::Hello {
+            version: VERSION,
+            name: proxy_name(number),
+            zone: self.zone(number).to_owned(),
+            usual_rate: 1.0,
+            ..Default::default()
+        };
+        FromProxy::new(0, 0, from_proxy::Kind::Hello(hello))
+    }
+
+    /// Starts the conductor and waits until it listens.
+    pub async fn start(&self) -> anyhow::Result<Running> {
+        Ok(self.launcher.start(&self.config).await?)
+    }
+
+    /// Starts the conductor and waits until it has read the list of servers.
+    pub async fn start_with_list(&self) -> anyhow::Result<Running> {
+        let polls = self.registry.polls();
+        let running = self.start().await?;
+        timeout(PATIENCE, self.registry.polled(polls))
+            .await
+            .context("the conductor does not read its list")?;
+        Ok(running)
+    }
+
+    /// Joins so many proxies' streams, each followed by a task of its own.
+    pub async fn join(
+        &self,
+        address: SocketAddr,
+        proxies: usize,
+        observer: &mpsc::Sender<Observation>,
+    ) -> anyhow::Result<JoinSet<()>> {
+        let mut streams = JoinSet::new();
+        for number in 0..proxies {
+            let hello = frame(&self.hello(number), LARGEST_PLAIN_FRAME)?;
+            let socket = TcpStream::connect(address).await?;
+            streams.spawn(follow(socket, hello, observer.clone()));
+        }
+        Ok(streams)
+    }
+
+    /// Ends the list of servers.
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+}
+
+/// The name of the proxy with this number.
+pub fn proxy_name(number: usize) -> String {
+    format!("p{number}")
+}
+
+/// What a conductor that runs has used so far.
+pub fn usage(running: &Running) -> anyhow::Result<Usage> {
+    let pid = running.pid().context("the conductor has no process of its own")?;
+    Ok(Usage::of(pid)?)
+}
+
+fn config(args: &BenchArgs, list: SocketAddr) -> anyhow::Result<Config> {
+    let mut config = Scenario::parse("bad day", BAD_DAY)?.plan("bad day")?.config;
+    config.listen.address.set_port(0);
+    config.status.address = None;
+    config.probes.enabled = false;
+    config.fleet.proxies = args.proxies as u32;
+    // One table a zone: a drain is news for every proxy of its zone.
+    config.fleet.connections_min = 0;
+    config.channel.lines_per_s = args.lines_per_s;
+    config.channel.waiting_max = LINES_WAITING_MOST;
+    config.channel.mark_timeout = MARK_TIMEOUT;
+    config.source = Source::Http {
+        address: list,
+        path: "/v1/nodes".into(),
+        poll: POLL,
+        timeout: POLL,
+        doubt: config.source.doubt().clone(),
+    };
+    Ok(config)
+}
--- /dev/null
+++ b/crates/stepspur-cli/src/bench/rights.rs
@@ -0,0 +1,32 @@
+//! What a check of a caller's right costs.
+
+use std::hint::black_box;
+use std::time::{Instant, SystemTime};
+
+use anyhow::Context;
+use stepspur_identity::grant::Grant;
+use stepspur_identity::keys::KeySet;
+use stepspur_identity::rights::Right;
+use stepspur_identity::token;
+use stepspur_rehearsal::identity::DayKeys;
+
+const CHECKS: u32 = 10_000_000;
+
+/// Checks a right many times and prints the mean time of a check.
+pub fn print_cost(keys: &DayKeys) -> anyhow::Result<()> {
+    let set = KeySet::load(&keys.config().folder)?;
+    let token = keys.token("north", "p0");
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_micros() as u64;
+    let accepted = token::verify(&token, &set, token::Terms::default(), now)?;
+    let grant = Grant::new(None, Some(accepted), &set).context("the day's own token")?;
+    let from = Instant::now();
+    let mut allowed = 0u32;
+    for check in 0..CHECKS {
+        let at = now + u64::from(check & 1);
+        allowed += u32::from(black_box(&grant).may(Right::Report, at).is_ok());
+    }
+    let nanos = from.elapsed().as_nanos() as f64 / f64::from(CHECKS);
+    anyhow::ensure!(allowed == CHECKS, "the check failed");
+    println!("a check of a right {nanos:.2} ns");
+    Ok(())
+}
--- a/crates/stepspur-rehearsal/src/registry.rs
+++ b/crates/stepspur-rehearsal/src/registry.rs
@@ -38,9 +38,19 @@
 pub struct Registry {
     listed: Mutex<Listed>,
     version: watch::Sender<u64>,
+    waiting: watch::Sender<Waiting>,
     trace: Arc<Trace>,
 }
 
+/// The long polls that have begun to wait for a change.
+#[derive(Clone, Copy, Debug, Default)]
+struct Waiting {
+    /// How many, since the start.
+    polls: u64,
+    /// The version that the last one has.
+    version: u64,
+}
+
 #[derive(Debug, Deserialize)]
 struct Since {
     since: Option<u64>,
@@ -51,7 +61,26 @@
 impl Registry {
     /// An empty list.
     pub fn new(trace: Arc<Trace>) -> Arc<Self> {
-        Arc::new(Self { listed: Mutex::default(), version: watch::Sender::new(0), trace })
+        Arc::new(Self {
+            listed: Mutex::default(),
+            version: watch::Sender::new(0),
+            waiting: watch::Sender::default(),
+            trace,
+        })
+    }
+
+    /// How many long polls have begun to wait for a change so far.
+    pub fn polls(&self) -> u64 {
+        self.waiting.borrow().polls
+    }
+
+    /// Waits until a long poll later than this many holds the whole list and waits for the next change: its conductor
+    /// has read all changes before, and hears of the next one at once.
+    pub async fn polled(&self, after: u64) {
+        let version = lock(&self.listed).version;
+        let mut waiting = self.waiting.subscribe();
+        // The sender lives as long as the list.
+        let _ = waiting.wait_for(|now| now.polls > after && now.version >= version).await;
     }
 
     /// Servers are listed so from now on; told together.
@@ -133,6 +162,10 @@
         Ok((listed.version > version).then_some(answer))
     }
 
+    fn waits(&self, version: u64) {
+        self.waiting.send_modify(|waiting| *waiting = Waiting { polls: waiting.polls + 1, version });
+    }
+
     fn tell(&self, conductor: usize, answer: ListAnswer) -> Response {
         let whole = answer.nodes.is_some();
         let nodes = answer.nodes.as_ref().or(answer.changes.as_ref()).cloned().unwrap_or_default();
@@ -156,7 +189,7 @@
     loop {
         match registry.since(version) {
             Ok(Some(answer)) => return registry.tell(conductor, answer),
-            Ok(None) => {}
+            Ok(None) => registry.waits(version),
             Err(status) => return status.into_response(),
         }
         if tokio::time::timeout_at(until, newest.changed()).await.is_err() {
