Measure drains to the last of many proxies with the distribution on against off

What a subscriber of the distribution costs its conductor's drains was not known: the bench of drains has no control members, the scale run three proxies a conductor. `stepspur-scale drains` starts control members as processes (three by default), has one change a second agreed on, and plays rounds in pairs, one with `[distribution.subscriber]`, one with the same settings without it, each with a conductor's process of its own and 1,249 proxies. It reuses the harness's keys, operator, control settings and hollow proxies, which is why it stands there and not in `stepspur bench`. Control members and changes run in both arms, so that the arms differ by the subscriber alone; each change concerns the conductor. Told are p50, p99, most and mean to the last proxy, medians of rounds, times to each proxy, processor time of the conductor a drain, changes that came, and the ratios, as text and JSON.

A drain is over for a proxy when it reads that the drained server of its zone has no weight, by its own clock reading; other orders do not count. Hollow proxies tell changes of their tables for this, and count orders of levels. Up to a fifth of a zone's servers drain before all are listed as ready again: coming back takes 0.7 s, so that a return after each drain would leave few drains in three minutes.

tests/drains.rs plays two pairs with seven proxies: both arms have their drains, changes come to the proxies of one arm alone. The schedule and the sums have tests of their own.

--- /dev/null
+++ b/crates/stepspur-scale/src/drains/report.rs
@@ -0,0 +1,158 @@
+//! What the arms took, and their ratio.
+
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
+
+use serde::Serialize;
+
+use super::arm::Arm;
+use super::round::Measured;
+use crate::fleet::latency::Spread;
+use crate::fleet::report::Machine;
+
+/// Medians of drains to the last proxy, on over off, are at most this.
+pub const RATIO_AIM: f64 = 1.05;
+
+/// What was run.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Setting {
+    /// Servers that the list names.
+    pub servers: usize,
+    /// Proxies of the conductor.
+    pub proxies: usize,
+    /// Rounds of each arm.
+    pub rounds: u32,
+    /// Drains of a round.
+    pub drains: u32,
+    /// Control members.
+    pub controls: u32,
+    /// Changes of configuration a second.
+    pub changes_per_s: f64,
+    /// Where draws started.
+    pub seed: u64,
+}
+
+/// What the rounds of one arm took.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ArmReport {
+    /// From the list's change to the last proxy's reading, over all rounds.
+    pub last: Spread,
+    /// The mean of the same.
+    pub last_mean_ms: f64,
+    /// To each proxy's reading, over all rounds.
+    pub each: Spread,
+    /// Medians of drains to the last proxy, round by round.
+    pub round_medians_ms: Vec<f64>,
+    /// Processor time of the conductor from the list's change to the last proxy's reading, a drain.
+    pub cpu_ms: f64,
+    /// Changes that were agreed during the drains.
+    pub changes_agreed: u64,
+    /// Orders of levels that each proxy read during the drains, over all rounds.
+    pub levels_ordered: f64,
+}
+
+/// How the arms compare: on over off.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Ratios {
+    /// Of the medians of all drains to the last proxy.
+    pub last_p50: f64,
+    /// Of their 99th in a hundred.
+    pub last_p99: f64,
+    /// Of their means.
+    pub last_mean: f64,
+    /// Of the processor time.
+    pub cpu: f64,
+    /// Of the medians of each pair of rounds.
+    pub pairs: Vec<f64>,
+}
+
+/// The whole result.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    machine: Machine,
+    setting: Setting,
+    on: ArmReport,
+    off: ArmReport,
+    ratios: Ratios,
+}
+
+impl ArmReport {
+    fn new(arm: Arm, rounds: &[Measured]) -> Self {
+        let rounds: Vec<&Measured> = rounds.iter().filter(|round| round.arm == arm).collect();
+        let last: Vec<_> = rounds.iter().flat_map(|round| round.last.iter().copied()).collect();
+        let each: Vec<_> = rounds.iter().flat_map(|round| round.each.iter().copied()).collect();
+        let cpu: f64 = rounds.iter().map(|round| round.cpu.as_secs_f64()).sum();
+        let drains = last.len().max(1) as f64;
+        Self {
+            last_mean_ms: last.iter().sum::<u64>() as f64 / 1e3 / drains,
+            last: Spread::of(last),
+            each: Spread::of(each),
+            round_medians_ms: rounds.iter().map(|round| Spread::of(round.last.clone()).p50_ms).collect(),
+            cpu_ms: cpu * 1e3 / drains,
+            changes_agreed: rounds.iter().map(|round| round.changes_agreed).sum(),
+            levels_ordered: rounds.iter().map(|round| round.levels_ordered).sum(),
+        }
+    }
+}
+
+impl Ratios {
+    fn new(on: &ArmReport, off: &ArmReport) -> Self {
+        let pairs = on.round_medians_ms.iter().zip(&off.round_medians_ms);
+        Self {
+            last_p50: on.last.p50_ms / off.last.p50_ms,
+            last_p99: on.last.p99_ms / off.last.p99_ms,
+            last_mean: on.last_mean_ms / off.last_mean_ms,
+            cpu: on.cpu_ms / off.cpu_ms,
+            pairs: pairs.map(|(on, off)| on / off).collect(),
+        }
+    }
+}
+
+impl Report {
+    /// Of all rounds, those of each arm in the order of their pairs.
+    pub fn new(machine: Machine, setting: Setting, rounds: &[Measured]) -> Self {
+        let (on, off) = (ArmReport::new(Arm::On, rounds), ArmReport::new(Arm::Off, rounds));
+        let ratios = Ratios::new(&on, &off);
+        Self { machine, setting, on, off, ratios }
+    }
+}
+
+impl fmt::Display for ArmReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Spread { p50_ms, p99_ms, most_ms, .. } = self.last;
+        let least = self.round_medians_ms.iter().copied().fold(f64::INFINITY, f64::min);
+        let most = self.round_medians_ms.iter().copied().fold(0.0, f64::max);
+        write!(f, "{p50_ms:7.2} {p99_ms:7.2} {most_ms:7.2} {:7.2}", self.last_mean_ms)?;
+        write!(f, "   {least:6.2} to {most:6.2}   {:7.2} {:7.2}", self.each.p50_ms, self.each.p99_ms)?;
+        write!(f, "   {:7.2}   {:5} {:6.1}", self.cpu_ms, self.changes_agreed, self.levels_ordered)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { machine, setting, on, off, ratios } = self;
+        let Setting { servers, proxies, rounds, drains, controls, changes_per_s, seed } = setting;
+        writeln!(
+            f,
+            "{servers} servers, {proxies} proxies, {controls} control members, {changes_per_s} changes a second; \
+             {rounds} rounds of {drains} drains an arm, seed {seed}; {} cores, load {:.1} before",
+            machine.cores, machine.load_before
+        )?;
+        writeln!(
+            f,
+            "     to the last proxy, ms: p50, p99, most, mean; medians of rounds; to each, ms: p50, p99; \
+             CPU a drain, ms; changes agreed, levels ordered"
+        )?;
+        writeln!(f, "on  {on}")?;
+        writeln!(f, "off {off}")?;
+        writeln!(
+            f,
+            "ratios, on over off: p99 {:.3}, mean {:.3}, CPU {:.3}; medians of pairs {:.3?}",
+            ratios.last_p99, ratios.last_mean, ratios.cpu, ratios.pairs
+        )?;
+        let missed = if ratios.last_p50 <= RATIO_AIM { "kept" } else { "missed" };
+        write!(f, "ratio of the medians to the last {:.3}, aim {RATIO_AIM}: {missed}", ratios.last_p50)
+    }
+}
--- a/crates/stepspur-scale/src/fleet/cluster.rs
+++ b/crates/stepspur-scale/src/fleet/cluster.rs
@@ -404,7 +404,10 @@
 
 /// Ports for a control member at an address of its own, drawn by the system and free a moment ago. Nobody else uses
 /// these addresses: connections come from 127.0.0.1.
-fn reserve(id: u64) -> anyhow::Result<ControlAddresses> {
+///
+/// # Errors
+/// The system's, and more control members than there are addresses.
+pub fn reserve(id: u64) -> anyhow::Result<ControlAddresses> {
     let ip = Ipv4Addr::new(127, 0, 1, u8::try_from(id).context("too many control members")?);
     let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)));
     let mut addresses = Vec::new();
--- a/crates/stepspur-scale/src/fleet/mod.rs
+++ b/crates/stepspur-scale/src/fleet/mod.rs
@@ -3,21 +3,21 @@
 //! agreed. docs/scale-run.md tells how it is run and read.
 
 mod changes;
-mod cluster;
+pub mod cluster;
 mod faults;
 pub mod history;
 mod judge;
-mod latency;
+pub mod latency;
 mod measure;
-mod operators;
-mod plan;
-mod processes;
+pub mod operators;
+pub mod plan;
+pub mod processes;
 mod proxies;
 mod record;
-mod report;
+pub mod report;
 mod run;
 pub mod servers;
-mod settings;
+pub mod settings;
 mod sockets;
 
 use std::path::{Path, PathBuf};
@@ -220,7 +220,7 @@
 }
 
 /// What the run stands on.
-fn machine() -> anyhow::Result<Machine> {
+pub fn machine() -> anyhow::Result<Machine> {
     let memory = std::fs::read_to_string("/proc/meminfo")?;
     let total = memory.lines().find_map(|line| line.strip_prefix("MemTotal:")).context("no MemTotal")?;
     let kib: u64 = total.trim().trim_end_matches("kB").trim().parse()?;
--- a/crates/stepspur-scale/src/hollow/proxies.rs
+++ b/crates/stepspur-scale/src/hollow/proxies.rs
@@ -12,10 +12,11 @@
 use rand_chacha::ChaCha8Rng;
 use stepspur_proto::v1;
 use stepspur_proto::{
-    FrameError, Frames, FromConductor, FromProxy, LARGEST_FRAME, VERSION, from_conductor, from_proxy,
+    FrameError, Frames, FromConductor, FromProxy, LARGEST_FRAME, VERSION, address_of, from_conductor,
+    from_proxy,
 };
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, interval_at, timeout};
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
@@ -34,6 +35,21 @@
     pub requests_per_s: usize,
     /// Where draws of servers start.
     pub seed: u64,
+    /// Where each change of a table is told; a receiver that lags holds the proxies up.
+    pub table_changes: Option<mpsc::Sender<TableChange>>,
+}
+
+/// An order gave a server another weight in a proxy's table.
+#[derive(Clone, Copy, Debug)]
+pub struct TableChange {
+    /// The number of the proxy.
+    pub proxy: usize,
+    /// The server.
+    pub server: SocketAddr,
+    /// True: requests may go to it; false: it has no weight any more.
+    pub used: bool,
+    /// When the proxy read the order.
+    pub at: Instant,
 }
 
 /// What the proxies have seen, counted together.
@@ -41,6 +57,7 @@
 struct Seen {
     bound: AtomicU64,
     removals: AtomicU64,
+    levels: AtomicU64,
     reports: AtomicU64,
 }
 
@@ -103,6 +120,22 @@
         self.seen.removals.load(Ordering::Relaxed)
     }
 
+    /// Orders that set levels of classes, so far and in all; tables apart.
+    pub fn levels(&self) -> u64 {
+        self.seen.levels.load(Ordering::Relaxed)
+    }
+
+    /// Waits until so many orders in all have set levels.
+    ///
+    /// # Errors
+    /// If that takes longer.
+    pub async fn levelled(&mut self, orders: u64, within: Duration) -> anyhow::Result<()> {
+        let seen = Arc::clone(&self.seen);
+        self.wait(within, || seen.levels.load(Ordering::Relaxed) >= orders)
+            .await
+            .context("levels were not ordered")
+    }
+
     /// Reports that all of them have sent.
     pub fn reports(&self) -> u64 {
         self.seen.reports.load(Ordering::Relaxed)
@@ -160,6 +193,7 @@
                 _ = turns.tick() => Some(from_proxy::Kind::Report(self.report(every))),
                 read = stream.next() => {
                     let Some(read) = read.transpose()? else { return Ok(()) };
+                    self.tell_table_changes(&read, Instant::now()).await;
                     epoch = read.epoch;
                     sequence = sequence.max(read.sequence);
                     self.take(read)
@@ -183,6 +217,21 @@
         }
     }
 
+    /// Tells what an order changes in the table, where somebody wants to know.
+    async fn tell_table_changes(&self, read: &FromConductor, at: Instant) {
+        let (Some(told), Some(from_conductor::Kind::Order(order))) =
+            (&self.settings.table_changes, &read.kind)
+        else {
+            return;
+        };
+        for line in &order.lines {
+            let Ok(server) = address_of(&line.server) else { continue };
+            let change = TableChange { proxy: self.number, server, used: line.weight > 0.0, at };
+            // Nobody listens any more: the measuring is over.
+            let _ = told.send(change).await;
+        }
+    }
+
     /// Counts what came; the answer, if one is due.
     fn take(&self, read: FromConductor) -> Option<from_proxy::Kind> {
         match read.kind {
@@ -193,6 +242,9 @@
                 if order.lines.iter().any(|line| line.weight == 0.0) {
                     self.seen.removals.fetch_add(1, Ordering::Relaxed);
                 }
+                if !order.levels.is_empty() {
+                    self.seen.levels.fetch_add(1, Ordering::Relaxed);
+                }
                 self.tell.send_replace(());
                 order.mark.map(|mark| from_proxy::Kind::Applied(v1::Applied { mark, took_us: 0 }))
             }
--- a/crates/stepspur-scale/src/hollow/tests.rs
+++ b/crates/stepspur-scale/src/hollow/tests.rs
@@ -43,6 +43,7 @@
         servers: Arc::clone(&addresses),
         requests_per_s: 3,
         seed: 1,
+        table_changes: None,
     };
     let mut proxies = HollowProxies::start(conductor.address, &settings).await.unwrap();
     proxies.bound(PATIENCE).await.unwrap();
--- a/crates/stepspur-scale/src/main.rs
+++ b/crates/stepspur-scale/src/main.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 mod capacity;
+mod drains;
 mod fit;
 mod fleet;
 mod hollow;
@@ -30,6 +31,8 @@
     Capacity(capacity::CapacityArgs),
     /// The distribution of configuration at full size, under change and faults, judged.
     Fleet(fleet::FleetArgs),
+    /// Drains with the distribution of configuration on against off.
+    Drains(drains::DrainsArgs),
     /// Hollow conductors, driven over standard input; started by `fleet`.
     #[command(hide = true)]
     Hollow,
@@ -50,6 +53,7 @@
     match Arguments::parse().command {
         Command::Slopes(args) => slopes::run(args).await,
         Command::Fleet(args) => fleet::run(args).await,
+        Command::Drains(args) => drains::run(args).await,
         Command::Hollow => hollow_conductors::run().await,
         Command::HollowServers { count } => fleet::servers::run(count).await,
         Command::Capacity(args) => capacity::run(args),
--- a/crates/stepspur-scale/src/slopes/conductor.rs
+++ b/crates/stepspur-scale/src/slopes/conductor.rs
@@ -14,12 +14,13 @@
 use stepspur_rehearsal::registry::Registry;
 use stepspur_rehearsal::trace::Trace;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::result::{Metric, Values};
-use crate::hollow::proxies::{HollowProxies, ProxySettings};
+use crate::hollow::proxies::{HollowProxies, ProxySettings, TableChange};
 use crate::hollow::servers::{HollowServers, address_of};
 use crate::traffic;
 use crate::usage;
@@ -55,11 +56,14 @@
 }
 
 /// The list of servers, and the settings to start a conductor by.
-struct Bench {
+pub struct Bench {
     setup: Setup,
-    config: Config,
-    launcher: Launcher,
-    registry: Arc<Registry>,
+    /// The settings.
+    pub config: Config,
+    /// Starts it.
+    pub launcher: Launcher,
+    /// The list.
+    pub registry: Arc<Registry>,
     addresses: Arc<Vec<SocketAddr>>,
     hollow: Option<HollowServers>,
     stop: CancellationToken,
@@ -79,6 +83,11 @@
     Ok(config)
 }
 
+/// The address of the server with this number where nobody dials servers.
+pub fn unused_address(number: usize) -> SocketAddr {
+    SocketAddr::from((address_of(number), UNUSED_PORT))
+}
+
 /// Measures one conductor at one size.
 ///
 /// # Errors
@@ -91,7 +100,11 @@
 }
 
 impl Bench {
-    async fn new(program: PathBuf, setup: Setup) -> anyhow::Result<Self> {
+    /// Serves a list of servers that are all ready. No conductor runs yet.
+    ///
+    /// # Errors
+    /// The system's, and settings that cannot be read.
+    pub async fn new(program: PathBuf, setup: Setup) -> anyhow::Result<Self> {
         let registry = Registry::new(Arc::new(Trace::default()));
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
@@ -106,28 +119,47 @@
         let hollow = if setup.probing { Some(HollowServers::start(setup.servers).await?) } else { None };
         let addresses = match &hollow {
             Some(hollow) => hollow.addresses().to_vec(),
-            None => (0..setup.servers).map(|k| SocketAddr::from((address_of(k), UNUSED_PORT))).collect(),
+            None => (0..setup.servers).map(unused_address).collect(),
         };
         let launcher = Launcher::Program(program);
         let addresses = Arc::new(addresses);
         let bench = Self { setup, config, launcher, registry, addresses, hollow, stop, tasks };
-        bench.registry.set((0..setup.servers).map(|number| bench.node(number, NodeState::Ready)));
+        bench.set_states(0..setup.servers, NodeState::Ready);
         Ok(bench)
     }
 
+    /// Lists these servers in a state, all at once.
+    pub fn set_states(&self, servers: impl IntoIterator<Item = usize>, state: NodeState) {
+        self.registry.set(servers.into_iter().map(|number| self.node(number, state)));
+    }
+
+    /// The address of the server with this number.
+    pub fn address(&self, server: usize) -> SocketAddr {
+        self.addresses[server]
+    }
+
     fn node(&self, number: usize, state: NodeState) -> NodeRecord {
         let zones = &self.config.fleet.zones;
         let zone = zones[number % zones.len()].clone();
         NodeRecord { address: self.addresses[number], zone, state, weight: 1.0, started_unix_ms: 0 }
     }
 
-    async fn join(&self, conductor: SocketAddr) -> anyhow::Result<HollowProxies> {
+    /// Joins all proxies and waits until they have their tables; changes of these are told where that is wanted.
+    ///
+    /// # Errors
+    /// Proxies that do not join in time.
+    pub async fn join(
+        &self,
+        conductor: SocketAddr,
+        table_changes: Option<mpsc::Sender<TableChange>>,
+    ) -> anyhow::Result<HollowProxies> {
         let settings = ProxySettings {
             count: self.setup.proxies,
             zones: self.config.fleet.zones.clone(),
             servers: Arc::clone(&self.addresses),
             requests_per_s: self.setup.requests_per_proxy,
             seed: self.setup.seed,
+            table_changes,
         };
         let mut proxies = HollowProxies::start(conductor, &settings).await?;
         proxies.bound(PATIENCE).await?;
@@ -138,7 +170,7 @@
         let mut values = Values::new();
         let from = Instant::now();
         let running = self.launcher.start(&self.config).await?;
-        let mut proxies = self.join(running.address).await?;
+        let mut proxies = self.join(running.address, None).await?;
         values.insert(Metric::StartS, from.elapsed().as_secs_f64());
         values.insert(Metric::StartCpuS, usage::thread_time(pid(&running)?)?.as_secs_f64());
         sleep(SETTLE).await;
@@ -149,7 +181,7 @@
             running.kill().await;
             let from = Instant::now();
             let running = self.launcher.start(&self.config).await?;
-            let proxies = self.join(running.address).await?;
+            let proxies = self.join(running.address, None).await?;
             values.insert(Metric::RejoinS, from.elapsed().as_secs_f64());
             values.insert(Metric::RejoinCpuS, usage::thread_time(pid(&running)?)?.as_secs_f64());
             proxies.stop().await;
@@ -202,11 +234,11 @@
             let picked: Vec<usize> = (0..zones).map(|zone| round * zones + zone).collect();
             let told = proxies.removals();
             let (cpu, from) = (usage::thread_time(pid)?, Instant::now());
-            self.registry.set(picked.iter().map(|number| self.node(*number, NodeState::Draining)));
+            self.set_states(picked.clone(), NodeState::Draining);
             proxies.removed(told + self.setup.proxies as u64, PATIENCE).await?;
             took += from.elapsed();
             spent += usage::thread_time(pid)?.saturating_sub(cpu);
-            self.registry.set(picked.iter().map(|number| self.node(*number, NodeState::Ready)));
+            self.set_states(picked, NodeState::Ready);
             sleep(BETWEEN_DRAINS).await;
         }
         let mean = |sum: Duration| sum.as_secs_f64() * 1e3 / DRAINS as f64;
@@ -215,7 +247,8 @@
         Ok(())
     }
 
-    async fn stop(self) {
+    /// Ends the list, and the servers if there are any.
+    pub async fn stop(self) {
         self.stop.cancel();
         self.tasks.close();
         self.tasks.wait().await;
