Give the council's processes ports of their own, and wait for their end, not look for it

Seen: `what_was_told_as_agreed_stays_when_leaders_are_stopped_in_mid_change` failed with `cannot listen on 127.0.0.1:38117: Address already in use (os error 98)`. The ports were bound at 127.0.0.1 and let go, for processes that bind them later and again after a restart; meanwhile any socket bound to port 0 there, and any connection that goes out, may be given them (`TcpListener::bind("127.0.0.1:0")` in `Council::found`). The address of its own that the distribution's rig already had is now in `tests/common/loopback.rs`, for both.

`terminate` looked each 10 ms whether a process had ended. A thread now waits for the process and tells its status; the bound of 15 s is the same, and a process that exceeds it is killed. The first test waited for the end of its processes without a bound: it has the same one now.

--- a/crates/stepspur-cli/tests/common/distribution.rs
+++ b/crates/stepspur-cli/tests/common/distribution.rs
@@ -3,10 +3,9 @@
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
@@ -28,6 +27,10 @@
 use tokio_util::codec::Framed;
 use tokio_util::task::AbortOnDropHandle;
 
+#[path = "loopback.rs"]
+mod loopback;
+use loopback::{free_ports, own_address};
+
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_stepspur");
 /// Every wait of a test ends after this: it is no measure of speed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -119,20 +122,6 @@
     tls: Arc<ClientConfig>,
 }
 
-/// A loopback address that no other fleet of this process has, and hardly one of another: ports that were free there a
-/// moment ago are not taken by other tests' sockets, which all are at 127.0.0.1.
-fn own_address() -> Ipv4Addr {
-    static FLEETS: AtomicU8 = AtomicU8::new(1);
-    let [high, low, ..] = std::process::id().to_le_bytes();
-    Ipv4Addr::new(127, 1 + high % 250, low, FLEETS.fetch_add(1, Ordering::Relaxed))
-}
-
-/// Addresses that are free now.
-fn ports(at: Ipv4Addr, count: usize) -> Vec<SocketAddr> {
-    let held: Vec<_> = (0..count).map(|_| TcpListener::bind((at, 0)).unwrap()).collect();
-    held.iter().map(|port| port.local_addr().unwrap()).collect()
-}
-
 /// The settings that all conductors of a test share; the fleet's classes are `read` and `write`.
 const BASE: &str = r#"
 [fleet]
@@ -162,7 +151,7 @@
     pub fn new(control: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let at = own_address();
-        let all = ports(at, 3 * control);
+        let all = free_ports(at, 3 * control);
         let part = |k: usize| all[k * control..(k + 1) * control].to_vec();
         let nodes: String =
             (1..=4).map(|k| format!("[[node]]\naddress = \"127.0.0.1:900{k}\"\nzone = \"a\"\n")).collect();
--- a/crates/stepspur-cli/tests/council.rs
+++ b/crates/stepspur-cli/tests/council.rs
@@ -2,13 +2,18 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
+#[path = "common/loopback.rs"]
+mod loopback;
+use loopback::{free_ports, own_address};
+
 const PROGRAM: &str = env!("CARGO_BIN_EXE_stepspur");
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
 /// Every wait of a test ends after this: it is no measure of speed.
@@ -18,14 +23,17 @@
 
 /// Ended with the test, whatever becomes of it.
 struct Running {
-    child: Child,
+    /// None once it was told to end.
+    child: Option<Child>,
     status: String,
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 }
 
@@ -49,7 +57,7 @@
         panic!("{fault}: {line:?}: {}", std::fs::read_to_string(&log).unwrap_or_default())
     });
     let status = said["status"].as_str().unwrap().to_owned();
-    Running { child, status }
+    Running { child: Some(child), status }
 }
 
 /// Asks a member until it stands as wanted.
@@ -80,12 +88,9 @@
 
 impl Council {
     fn found(folder: &Path) -> Self {
-        let ports: Vec<_> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let places: String = (1..=3)
-            .map(|id| {
-                let at = ports[id - 1].local_addr().unwrap();
-                format!("[[council.conductors]]\nid = {id}\naddress = \"{at}\"\n")
-            })
+        let places: String = (1..)
+            .zip(free_ports(own_address(), 3))
+            .map(|(id, at)| format!("[[council.conductors]]\nid = {id}\naddress = \"{at}\"\n"))
             .collect();
         let example = std::fs::read_to_string(Path::new(ROOT).join("examples/conductor.toml")).unwrap();
         let example = example
@@ -111,7 +116,6 @@
             let again = stepspur(&["council", "found"], config);
             assert_eq!(again.status.code(), Some(1), "the state of {id} was made anew");
         }
-        drop(ports);
         Self { configs }
     }
 }
@@ -153,9 +157,7 @@
         assert_eq!(std::fs::read(disk(at + 1)).ok().as_deref(), bytes);
     }
     for member in running.iter_mut().flatten() {
-        let id = member.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
-        assert_eq!(member.child.wait().unwrap().code(), Some(0));
+        assert_eq!(terminate(member), Some(0));
     }
 }
 
@@ -177,18 +179,23 @@
     assert!(faults.contains(&format!("conductor.toml:{line}")), "{faults}");
 }
 
-/// Ends a process by SIGTERM, within a bound.
+/// Sends a signal to a process that has not been waited for: true, if it came there.
+fn signal(id: u32, name: &str) -> bool {
+    Command::new("kill").args([name, &id.to_string()]).status().unwrap().success()
+}
+
+/// Ends a process by SIGTERM: its exit code. One that is not gone in time is killed, and fails the test.
 fn terminate(running: &mut Running) -> Option<i32> {
-    let id = running.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
-    let end = Instant::now() + STOP_MOST;
-    loop {
-        if let Some(status) = running.child.try_wait().unwrap() {
-            return status.code();
-        }
-        assert!(Instant::now() < end, "it did not end {STOP_MOST:?} after SIGTERM");
-        std::thread::sleep(Duration::from_millis(10));
-    }
+    let mut child = running.child.take().expect("it runs");
+    let id = child.id();
+    assert!(signal(id, "-TERM"));
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || tell.send(child.wait()));
+    let Ok(ended) = told.recv_timeout(STOP_MOST) else {
+        signal(id, "-KILL");
+        panic!("it did not end {STOP_MOST:?} after SIGTERM");
+    };
+    ended.unwrap().code()
 }
 
 #[test]
