Ask for a version's standing again when a process has logged something, not each 30 ms

The rig of the distribution's processes asked for pages and standings each 30 ms (`until` in `tests/common/distribution.rs`). All that it waits for follows a line of a process's log: an election, an attached or lost control member, or one of two new lines at debug that an operator wants as well when a version does not come to be everywhere: `config_progress` of a subscriber, after its status shows how far it has come, and `config_summary_taken` of the leader, after it answers by that summary. The processes of a fleet now log into pipes; a thread for each counts the lines, and `until` asks again whenever there are more, for 20 s at most as before. What is not read from a pipe by a test is still shown where a process does not start.

No condition of a test was changed.

--- a/crates/stepspur-cli/tests/common/distribution.rs
+++ b/crates/stepspur-cli/tests/common/distribution.rs
@@ -1,12 +1,12 @@
 //! Control members and subscribers as processes, a proxy's stream, and an operator's calls; every wait is bounded.
 
 use std::collections::BTreeSet;
-use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, mpsc};
+use std::thread;
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
@@ -18,7 +18,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tokio_rustls::TlsConnector;
 use tokio_rustls::client::TlsStream;
 use tokio_rustls::rustls::ClientConfig;
@@ -34,14 +34,16 @@
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_stepspur");
 /// Every wait of a test ends after this: it is no measure of speed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
-/// A poll asks again after this.
-const AGAIN: Duration = Duration::from_millis(30);
+/// What processes log: elections, attached subscribers, each summary that a leader has taken, and how far each
+/// subscriber has come.
+const LOGGED: &str = "info,stepspur_distribution=debug";
 
 /// Ended with the test, whatever becomes of it.
 pub struct Process {
     child: Child,
     pub listening: SocketAddr,
     pub status: SocketAddr,
+    log: Log,
 }
 
 impl Drop for Process {
@@ -53,27 +55,29 @@
 
 impl Process {
     /// Starts the program and waits until it says where it listens.
-    pub fn start(config: &Path) -> Self {
-        let log = config.with_extension("log");
+    fn start(config: &Path, log: &Log) -> Self {
         let mut child = Command::new(PROGRAM)
-            .args(["run", "--log", "warn", "--config", config.to_str().unwrap()])
+            .args(["run", "--log", LOGGED, "--config", config.to_str().unwrap()])
             .stdout(Stdio::piped())
-            .stderr(File::create(&log).unwrap())
+            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
+        let logged = log.clone().read(child.stderr.take().unwrap());
         let mut out = BufReader::new(child.stdout.take().unwrap());
         let (tell, told) = mpsc::channel();
-        std::thread::spawn(move || {
+        thread::spawn(move || {
             let mut line = String::new();
             let _ = out.read_line(&mut line);
             let _ = tell.send(line);
         });
         let line = told.recv_timeout(PATIENCE).expect("an announcement");
-        let said: Value = serde_json::from_str(&line).unwrap_or_else(|fault| {
-            panic!("{fault}: {line:?}: {}", std::fs::read_to_string(&log).unwrap_or_default())
-        });
+        if line.is_empty() {
+            panic!("it did not start: {}", logged.join().unwrap());
+        }
+        let said: Value = serde_json::from_str(&line).unwrap_or_else(|fault| panic!("{fault}: {line:?}"));
         let address = |key: &str| said[key].as_str().unwrap().parse().unwrap();
-        Self { child, listening: address("listening"), status: address("status") }
+        let (listening, status) = (address("listening"), address("status"));
+        Self { child, listening, status, log: log.clone() }
     }
 
     /// Ends it in order, and gives the exit code.
@@ -92,25 +96,49 @@
 
     /// Asks for a page until it is as wanted.
     pub async fn until(&self, path: &str, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
-        until(what, async || self.page(path).await.1, wanted).await
+        self.log.until(what, async || self.page(path).await.1, wanted).await
     }
 }
 
-/// Asks until the answer is as wanted.
-pub async fn until(what: &str, ask: impl AsyncFn() -> Value, wanted: impl Fn(&Value) -> bool) -> Value {
-    let mut last = Value::Null;
-    let asked = async {
-        loop {
-            last = ask().await;
-            if wanted(&last) {
-                return;
+/// How many lines a fleet's processes have logged.
+#[derive(Clone, Default)]
+struct Log(watch::Sender<u64>);
+
+impl Log {
+    /// Reads what a process logs until it ends: all of it.
+    fn read(self, log: impl Read + Send + 'static) -> thread::JoinHandle<String> {
+        thread::spawn(move || {
+            let mut all = String::new();
+            for line in BufReader::new(log).lines().map_while(Result::ok) {
+                all += &(line + "\n");
+                self.0.send_modify(|lines| *lines += 1);
             }
-            sleep(AGAIN).await;
-        }
-    };
-    let in_time = timeout(PATIENCE, asked).await.is_ok();
-    assert!(in_time, "in vain: {what}; {last}");
-    last
+            all
+        })
+    }
+
+    /// Asks, and again whenever a process has logged something, until the answer is as wanted.
+    async fn until(
+        &self,
+        what: &str,
+        ask: impl AsyncFn() -> Value,
+        wanted: impl Fn(&Value) -> bool,
+    ) -> Value {
+        let (mut lines, mut last) = (self.0.subscribe(), Value::Null);
+        let asked = async {
+            loop {
+                lines.mark_unchanged();
+                last = ask().await;
+                if wanted(&last) {
+                    return;
+                }
+                lines.changed().await.expect("the fleet stands");
+            }
+        };
+        let in_time = timeout(PATIENCE, asked).await.is_ok();
+        assert!(in_time, "in vain: {what}; {last}");
+        last
+    }
 }
 
 /// A folder of settings, keys and state files, with ports for so many control members.
@@ -120,6 +148,7 @@
     control: Vec<SocketAddr>,
     pub operators: Vec<SocketAddr>,
     tls: Arc<ClientConfig>,
+    log: Log,
 }
 
 /// The settings that all conductors of a test share; the fleet's classes are `read` and `write`.
@@ -173,7 +202,8 @@
         let anchor = &read_manifest(&keys).unwrap().anchor[0].file;
         let anchor = CertificateDer::from_pem_file(keys.join(anchor)).unwrap();
         let tls = tls::client(&[anchor], None).unwrap();
-        let fleet = Self { folder, council: part(0), control: part(1), operators: part(2), tls };
+        let fleet =
+            Self { folder, council: part(0), control: part(1), operators: part(2), tls, log: Log::default() };
         for id in 1..=control {
             stepspur(&["council", "found", "--config", fleet.control_config(id).to_str().unwrap()]);
         }
@@ -184,6 +214,21 @@
         self.folder.path().join(name)
     }
 
+    /// Starts a process of the fleet and waits until it says where it listens.
+    pub fn start(&self, config: &Path) -> Process {
+        Process::start(config, &self.log)
+    }
+
+    /// Asks, and again whenever a process of the fleet has logged something, until the answer is as wanted.
+    pub async fn until(
+        &self,
+        what: &str,
+        ask: impl AsyncFn() -> Value,
+        wanted: impl Fn(&Value) -> bool,
+    ) -> Value {
+        self.log.until(what, ask, wanted).await
+    }
+
     fn base(&self) -> String {
         format!("{BASE}path = {:?}\n", self.path("nodes.toml"))
     }
--- a/crates/stepspur-cli/tests/distribution.rs
+++ b/crates/stepspur-cli/tests/distribution.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::process::Command;
 
-use rig::{Fleet, PROGRAM, Process, Proxy, until};
+use rig::{Fleet, PROGRAM, Process, Proxy};
 use serde_json::{Value, json};
 
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
@@ -24,7 +24,7 @@
 /// Proposes changes at a control member until it knows a leader: the version.
 async fn propose(fleet: &Fleet, id: usize, token: &str, changes: &[Value]) -> String {
     let body = json!({ "changes": changes }).to_string();
-    let answer = until(
+    let answer = fleet.until(
         "a version",
         async || {
             let (code, mut answer) = fleet.call(id, token, "POST /v1/config", &body).await;
@@ -53,11 +53,11 @@
 }
 
 async fn until_everywhere(fleet: &Fleet, token: &str, version: &str) -> Value {
-    until("in force everywhere", async || standing(fleet, token, version).await, is_everywhere).await
+    fleet.until("in force everywhere", async || standing(fleet, token, version).await, is_everywhere).await
 }
 
 fn control_members(fleet: &Fleet) -> Vec<Option<Process>> {
-    (1..=fleet.operators.len()).map(|id| Some(Process::start(&fleet.control_config(id)))).collect()
+    (1..=fleet.operators.len()).map(|id| Some(fleet.start(&fleet.control_config(id)))).collect()
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -65,8 +65,8 @@
     let fleet = Fleet::new(3);
     let token = fleet.token("default", &["change", "read_status", "administer"]);
     let mut control = control_members(&fleet);
-    let one = Process::start(&fleet.subscriber_config("one"));
-    let two = Process::start(&fleet.subscriber_config("two"));
+    let one = fleet.start(&fleet.subscriber_config("one"));
+    let two = fleet.start(&fleet.subscriber_config("two"));
     let mut first = Proxy::join(one.listening, "p").await;
     let mut second = Proxy::join(two.listening, "p").await;
 
@@ -80,13 +80,13 @@
     drop((two, second));
     let version = propose(&fleet, 2, &token, &[level("read", Some(250_000))]).await;
     first.until_share(READ, 0.25).await;
-    let without = until(
+    let without = fleet.until(
         "the other is up to date",
         async || standing(&fleet, &token, &version).await,
         |s| s.to_string().contains("two") && !s.to_string().contains("\"one\""),
     );
     assert!(!is_everywhere(&without.await));
-    let two = Process::start(&fleet.subscriber_config("two"));
+    let two = fleet.start(&fleet.subscriber_config("two"));
     let mut second = Proxy::join(two.listening, "p").await;
     second.until_share(READ, 0.25).await;
     until_everywhere(&fleet, &token, &version).await;
@@ -123,7 +123,7 @@
     let token = fleet.token("default", &["change", "read_status", "administer"]);
     let control = control_members(&fleet);
     let config = fleet.subscriber_config("one");
-    let one = Process::start(&config);
+    let one = fleet.start(&config);
     let mut proxy = Proxy::join(one.listening, "p").await;
     let version = propose(&fleet, 1, &token, &[level("read", Some(500_000))]).await;
     proxy.until_share(READ, 0.5).await;
@@ -139,7 +139,7 @@
     let unapplied = page.await["subscriber"]["unapplied"][0].clone();
     assert_eq!(unapplied["reason"], "no class of this name");
     assert_eq!(unapplied["key"]["target"]["class"], "nonsense");
-    let named = until(
+    let named = fleet.until(
         "the reason at the leader",
         async || standing(&fleet, &token, &faulty).await,
         |s| s.to_string().contains("no class of this name"),
@@ -150,7 +150,7 @@
     // All control members are killed, and then the conductor: it starts by what it holds.
     drop(control);
     drop((one, proxy));
-    let one = Process::start(&config);
+    let one = fleet.start(&config);
     let mut proxy = Proxy::join(one.listening, "p").await;
     proxy.until_share(READ, 0.5).await;
     proxy.until_share(WRITE, 0.75).await;
@@ -178,7 +178,7 @@
     let fleet = Fleet::new(1);
     let token = fleet.token("default", &["change", "read_status", "administer"]);
     let _control = control_members(&fleet);
-    let one = Process::start(&fleet.subscriber_config("one"));
+    let one = fleet.start(&fleet.subscriber_config("one"));
     let mut proxy = Proxy::join(one.listening, "p").await;
     proxy.until_used(9001, true).await;
     for (setting, used) in [(json!("draining"), false), (json!("withdrawn"), false), (Value::Null, true)] {
@@ -196,7 +196,7 @@
     let fleet = Fleet::new(1);
     let token = fleet.token("default", &["change", "read_status", "administer"]);
     let config = fleet.control_and_subscriber_config(1);
-    let both = Process::start(&config);
+    let both = fleet.start(&config);
     let mut own = fleet.join(both.listening, "default").await;
     let mut south = fleet.join(both.listening, "south").await;
     own.until_used(9001, true).await;
@@ -220,7 +220,7 @@
     assert_eq!(until_everywhere(&fleet, &token, &version).await["expected"], 0);
     drop((own, south));
     assert_eq!(both.terminate(), Some(0));
-    let both = Process::start(&config);
+    let both = fleet.start(&config);
     let mut south = fleet.join(both.listening, "south").await;
     south.until_share(READ, 0.5).await;
 }
@@ -240,10 +240,10 @@
     assert!(fleet.audit(1).contains("is unknown"), "written down as well");
     body["operation"] = told["operation"].clone();
     // It is proposed again, at another member too, once there is one: each time the same version.
-    control[1] = Some(Process::start(&fleet.control_config(2)));
+    control[1] = Some(fleet.start(&fleet.control_config(2)));
     let mut versions = Vec::new();
     for id in [1, 2, 1] {
-        let again = until(
+        let again = fleet.until(
             "a version",
             async || fleet.call(id, &token, "POST /v1/config", &body.to_string()).await.1,
             |told| told["version"].is_string(),
@@ -264,7 +264,7 @@
     let fleet = Fleet::new(1);
     let config = fleet.subscriber_config("one");
     std::fs::write(fleet.path("one.redb"), "not a state file").unwrap();
-    let one = Process::start(&config);
+    let one = fleet.start(&config);
     let _bound = Proxy::join(one.listening, "p").await;
     let (_, page) = one.page("/v1/distribution").await;
     assert!(page["store_fault"].as_str().is_some_and(|fault| fault.contains("one.redb")), "{page}");
--- a/crates/stepspur-distribution/src/control/collector.rs
+++ b/crates/stepspur-distribution/src/control/collector.rs
@@ -109,7 +109,11 @@
         if summary.control != at.control {
             return Err(SummaryFault::Stranger(summary.control));
         }
-        told.take(summary)
+        told.take(summary)?;
+        if let Some(table) = told.complete() {
+            table.log(at.control);
+        }
+        Ok(())
     }
 
     /// Looks at what members have told, by member.
@@ -120,7 +124,22 @@
     }
 }
 
+impl Table {
+    /// Whoever asks where a version is in force is answered by this from now on.
+    fn log(&self, control: u64) {
+        let count = |is: fn(&Place) -> bool| self.places.values().filter(|place| is(place)).count();
+        let behind = count(|place| matches!(place, Place::Behind(_)));
+        let detached = count(|place| matches!(place, Place::Detached(_)));
+        tracing::debug!(event = "config_summary_taken", control, evaluated = %self.evaluated, behind, detached);
+    }
+}
+
 impl Told {
+    /// What the member has told, if nothing of its last summary is still to come.
+    fn complete(&self) -> Option<&Table> {
+        self.table.as_ref().filter(|_| self.parts.is_empty())
+    }
+
     fn take(&mut self, summary: v1::ControlSummary) -> Result<(), SummaryFault> {
         let told = summary.sequence;
         let follows = match self.sequence {
@@ -135,7 +154,7 @@
         self.parts.push(summary);
         self.check_bound()?;
         if !continued {
-            self.complete();
+            self.close();
         }
         Ok(())
     }
@@ -150,7 +169,7 @@
         if fits { Ok(()) } else { Err(SummaryFault::Names) }
     }
 
-    fn complete(&mut self) {
+    fn close(&mut self) {
         let heard = Instant::now();
         let whole = self.parts.first().is_some_and(|part| part.whole);
         let mut table = match self.table.take() {
--- a/crates/stepspur-distribution/src/subscriber/keeper.rs
+++ b/crates/stepspur-distribution/src/subscriber/keeper.rs
@@ -274,11 +274,15 @@
             status.unapplied_count = self.applier.failed();
             status.documents = self.documents.len();
         });
-        self.progress.send_if_modified(|now| {
+        let (holds, in_force, unapplied) = (self.holds, self.in_force, self.applier.failed());
+        let has_moved = self.progress.send_if_modified(|now| {
             let news = *now != progress;
             *now = progress;
             news
         });
+        if has_moved {
+            tracing::debug!(event = "config_progress", %holds, %in_force, unapplied);
+        }
     }
 }
 
