Wait for a member's progress or log in the tests of endings, on ports of their own

`until` in `crates/stepspur-peers/tests/endings.rs` asked a member for its status each 10 ms. It now asks again when the member has applied more (`Peers::applied`) or when anything was logged in the process: each change of a term or leader is, by the member's own task, before it answers the next question. `tests/common/log.rs` records what the project's crates log in a test process, for this and other tests.

The three members over TCP bound ports that were free at 127.0.0.1 a moment ago, and bound them again after a restart; they now have a loopback address of their own.

Left as it is: the 5 ms between the orders of a member in `processes.rs`. They are the pace of the load, and the measure by which the tests let time pass; they wait for nothing.

--- a/crates/stepspur-peers/tests/endings.rs
+++ b/crates/stepspur-peers/tests/endings.rs
@@ -11,7 +11,14 @@
 use stepspur_state::Store;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
+
+#[path = "common/log.rs"]
+mod log;
+#[path = "../../stepspur-cli/tests/common/loopback.rs"]
+mod loopback;
+use log::Log;
+use loopback::{free_ports, own_address};
 
 /// Every wait of a test ends after this: it is no measure of speed.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -40,16 +47,24 @@
     }
 }
 
-/// Waits until a member stands as wanted.
+/// Waits until a member stands as wanted. It is asked again whenever it has applied more, or something was logged: each
+/// change of its term and its leader is.
 async fn until(peers: &Peers, what: &str, wanted: impl Fn(&Status) -> bool) -> Status {
+    let (mut log, mut applied) = (Log::follow(), peers.applied());
     let end = Instant::now() + PATIENCE;
     loop {
+        applied.mark_unchanged();
         let status = peers.status().await.expect("it runs");
         if wanted(&status) {
             return status;
         }
-        assert!(Instant::now() < end, "in vain: {what}; {status:?}");
-        sleep(Duration::from_millis(10)).await;
+        let news = async {
+            tokio::select! {
+                _ = applied.changed() => {}
+                () = log.next() => {}
+            }
+        };
+        assert!(timeout_at(end, news).await.is_ok(), "in vain: {what}; {status:?}");
     }
 }
 
@@ -126,11 +141,7 @@
 
 impl Trio {
     async fn start() -> Self {
-        let ports: Vec<_> =
-            (0..3).map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-        let at = |k: u64| ports[k as usize - 1].local_addr().expect("bound");
-        let peers: BTreeMap<_, _> = (1..=3).map(|k| (MemberId(k), at(k))).collect();
-        drop(ports);
+        let peers: BTreeMap<_, _> = (1..).map(MemberId).zip(free_ports(own_address(), 3)).collect();
         let mut trio =
             Self { folder: tempfile::tempdir().expect("a folder"), peers, running: BTreeMap::new() };
         let voters: std::collections::BTreeSet<_> = trio.peers.keys().copied().collect();
