--- a/crates/stepspur-scale/src/drains/mod.rs
+++ b/crates/stepspur-scale/src/drains/mod.rs
@@ -37,7 +37,7 @@
     #[arg(long, default_value_t = 1_249)]
     proxies: usize,
     /// Rounds of each arm.
-    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u32).range(1..=100))]
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u32).range(1..=100))]
     rounds: u32,
     /// Drains of a round.
     #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u32).range(1..=10_000))]
