Hold servers of kept documents from the first list on, not a second after it

Kept documents are applied before the first list is read; `Engine::override_state` refused servers that no list had named, and `Applier::retry` came again a second later, when proxies had their tables. Ruled out: the document itself (its file gave it back, levels of the same files were in force at once) and a late push from control (it was down in the test).

Now `Operation::Hold`, by which alone documents hold servers, keeps a hold of a server that no list has named (65,536 at most) and `ServerList::take_entry` gives it to the server's first entry. An operator's own order for an unknown server is refused as before. A document about a server that is not listed is in force, as nothing is sent there; it stood as not applied.

--- a/crates/stepspur-cli/tests/common/distribution.rs
+++ b/crates/stepspur-cli/tests/common/distribution.rs
@@ -373,12 +373,15 @@
     used: BTreeSet<u32>,
     /// Ports of those that it must keep from.
     withdrawn: BTreeSet<u32>,
+    /// Ports of those that it was ever told to send requests to.
+    ever_used: BTreeSet<u32>,
 }
 
 impl Ordered {
     fn take(&mut self, order: &v1::Order) {
         if let Some(table) = &order.table {
-            *self = Self { shares: [1.0; 2], ..Self::default() };
+            let ever_used = std::mem::take(&mut self.ever_used);
+            *self = Self { shares: [1.0; 2], ever_used, ..Self::default() };
             self.change(&table.lines, &table.levels, &table.withdrawals);
         }
         self.change(&order.lines, &order.levels, &order.withdrawals);
@@ -387,6 +390,9 @@
     fn change(&mut self, lines: &[v1::Line], levels: &[v1::Level], withdrawals: &[v1::Withdrawal]) {
         for line in lines {
             put(&mut self.used, &line.server, line.weight > 0.0);
+            if line.weight > 0.0 {
+                put(&mut self.ever_used, &line.server, true);
+            }
         }
         for level in levels {
             if let Some(v1::level::Admit::Share(share)) = level.admit {
@@ -458,6 +464,11 @@
         self.until(&format!("server {port} used: {used}"), wanted).await;
     }
 
+    /// True: it was told to send requests to the server of this port, if only for a moment.
+    pub fn was_ever_used(&self, port: u32) -> bool {
+        self.ordered.borrow().ever_used.contains(&port)
+    }
+
     async fn until(&mut self, what: &str, wanted: impl FnMut(&Ordered) -> bool) {
         let ordered = timeout(PATIENCE, self.ordered.wait_for(wanted)).await.map(|ordered| ordered.is_ok());
         assert_eq!(ordered, Ok(true), "never ordered: {what}; {:?}", self.ordered.borrow());
--- a/crates/stepspur-cli/tests/distribution.rs
+++ b/crates/stepspur-cli/tests/distribution.rs
@@ -191,6 +191,29 @@
     assert_eq!(left["documents"], json!([]));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_kept_hold_is_in_force_from_the_first_table_on_after_a_restart() {
+    let fleet = Fleet::new(1);
+    let token = fleet.token("default", &["change", "read_status", "administer"]);
+    let control = control_members(&fleet);
+    let config = fleet.subscriber_config("one");
+    let one = fleet.start(&config);
+    let mut proxy = Proxy::join(one.listening, "p").await;
+    proxy.until_used(9001, true).await;
+    let target = json!({ "server": "127.0.0.1:9001" });
+    let change = json!({ "target": target, "setting": "draining" });
+    let version = propose(&fleet, 1, &token, &[change]).await;
+    until_everywhere(&fleet, &token, &version).await;
+    proxy.until_used(9001, false).await;
+
+    drop((control, one, proxy));
+    let one = fleet.start(&config);
+    let mut proxy = Proxy::join(one.listening, "p").await;
+    proxy.until_used(9002, true).await;
+    proxy.until_used(9001, false).await;
+    assert!(!proxy.was_ever_used(9001), "not in its first table either");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_tenants_document_reaches_the_proxies_of_that_tenant_alone() {
     let fleet = Fleet::new(1);
--- a/crates/stepspur-conductor/src/engine/mod.rs
+++ b/crates/stepspur-conductor/src/engine/mod.rs
@@ -53,7 +53,7 @@
 
 pub use ids::{ServerIds, named_id};
 pub use input::{Input, NodeEntry, StreamId};
-pub use operation::{Operation, OperationError};
+pub use operation::{HoldKind, Operation, OperationError};
 pub use order::{Admitted, Dialect, Farewell, Framed, Level, Order, Stamp};
 pub use output::{Note, Output};
 pub use probes::ProbeTarget;
--- a/crates/stepspur-conductor/src/engine/operation.rs
+++ b/crates/stepspur-conductor/src/engine/operation.rs
@@ -24,6 +24,16 @@
         /// False: lifted.
         on: bool,
     },
+    /// A server is held, whatever the list says, until it is lifted: from the first list that names it on, if none has
+    /// yet. Configuration holds servers so, since it is applied before the first list is read.
+    Hold {
+        /// The server.
+        server: SocketAddr,
+        /// What it is held to be.
+        kind: HoldKind,
+        /// False: lifted.
+        on: bool,
+    },
     /// No more than this share of a class is let in, whatever the module orders; 1 lifts it.
     Level {
         /// The class's name.
@@ -33,12 +43,33 @@
     },
 }
 
+/// What a held server is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldKind {
+    /// It gets no new requests and ends those that it has.
+    Draining,
+    /// It is gone.
+    Withdrawn,
+}
+
+impl HoldKind {
+    fn state(self) -> ListState {
+        match self {
+            Self::Draining => ListState::Draining,
+            Self::Withdrawn => ListState::Gone,
+        }
+    }
+}
+
 /// Why an operation cannot be done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum OperationError {
     /// No list has named the server.
     #[error("no list has named this server")]
     UnknownServer,
+    /// As many servers that no list has named are held as can be.
+    #[error("too many servers are held that no list has named")]
+    TooManyHeld,
     /// The class is none of the fleet's.
     #[error("no class of this name")]
     UnknownClass,
@@ -59,6 +90,7 @@
         match operation {
             Operation::Drain { server, on } => self.override_state(server, ListState::Draining, on),
             Operation::Withdraw { server, on } => self.override_state(server, ListState::Gone, on),
+            Operation::Hold { server, kind, on } => self.hold(server, kind.state(), on),
             Operation::Level { class, share } => self.cap_level(now, &class, share),
         }
     }
@@ -75,6 +107,15 @@
         Ok(())
     }
 
+    /// As [`Engine::override_state`], also for a server that no list has named yet.
+    fn hold(&mut self, server: SocketAddr, state: ListState, on: bool) -> Result<(), OperationError> {
+        match self.override_state(server, state, on) {
+            Err(OperationError::UnknownServer) if on => self.servers.hold_unlisted(server, state),
+            Err(OperationError::UnknownServer) => self.servers.lift_unlisted(server, state),
+            done => done,
+        }
+    }
+
     /// Lets in no more than this share of a class.
     fn cap_level(&mut self, now: Micros, class: &str, share: f64) -> Result<(), OperationError> {
         let place = self.config.fleet.classes.iter().position(|known| known.name == class);
--- a/crates/stepspur-conductor/src/engine/servers.rs
+++ b/crates/stepspur-conductor/src/engine/servers.rs
@@ -8,7 +8,7 @@
 
 use super::doubt::{Doubter, Taken};
 use super::ids::{ServerIds, named_id};
-use super::{NodeEntry, Note, ProbeTarget};
+use super::{NodeEntry, Note, OperationError, ProbeTarget};
 use crate::config::Doubt;
 
 /// Weights that lists may tell, besides 0 for none.
@@ -17,6 +17,8 @@
 const SAME_START: Micros = 1_000_000;
 /// A server that has been gone for so long, in microseconds, is forgotten.
 const GONE_KEPT: Micros = 600_000_000;
+/// Servers that no list has named and that are held, at most.
+const HELD_UNLISTED_MOST: usize = 65_536;
 /// Servers to be forgotten are looked for so often, in microseconds.
 const EXPIRY_PERIOD: Micros = 10_000_000;
 
@@ -84,6 +86,8 @@
     servers: BTreeMap<ServerId, Listed>,
     /// States that operators hold servers to be in.
     overrides: BTreeMap<ServerId, ListState>,
+    /// States of servers that no list has named yet: they count from the first list that does.
+    held_unlisted: BTreeMap<SocketAddr, ListState>,
     doubter: Doubter,
     /// How far the engine's time is ahead of the machine's clock, in microseconds.
     clock_offset: i64,
@@ -97,6 +101,7 @@
             ids: ServerIds::default(),
             servers: BTreeMap::new(),
             overrides: BTreeMap::new(),
+            held_unlisted: BTreeMap::new(),
             doubter: Doubter::new(doubt),
             clock_offset: 0,
             expired_at: now,
@@ -186,6 +191,9 @@
     /// Takes one entry of the list's news.
     fn take_entry(&mut self, now: Micros, how: ListHow, entry: NodeEntry, draft: &mut Draft) {
         let Some((server, entry)) = self.usable(entry, draft) else { return };
+        if let Some(state) = self.held_unlisted.remove(&entry.address) {
+            self.overrides.insert(server, state);
+        }
         let known = self.servers.get(&server);
         if let Some(known) = known.filter(|known| known.is_older(entry.started)) {
             // It is named, though: what is known of it stands.
@@ -301,6 +309,38 @@
         Some(self.list_entry(server, self.servers.get(&server)?))
     }
 
+    /// Holds a server that no list has named yet to be in a state from the first list that names it on.
+    ///
+    /// # Errors
+    /// [`OperationError::TooManyHeld`].
+    pub(crate) fn hold_unlisted(
+        &mut self,
+        address: SocketAddr,
+        state: ListState,
+    ) -> Result<(), OperationError> {
+        if self.held_unlisted.len() >= HELD_UNLISTED_MOST && !self.held_unlisted.contains_key(&address) {
+            return Err(OperationError::TooManyHeld);
+        }
+        self.held_unlisted.insert(address, state);
+        Ok(())
+    }
+
+    /// Lifts a hold of a server that no list has named yet; another state's stands.
+    ///
+    /// # Errors
+    /// [`OperationError::UnknownServer`]: it is not held.
+    pub(crate) fn lift_unlisted(
+        &mut self,
+        address: SocketAddr,
+        state: ListState,
+    ) -> Result<(), OperationError> {
+        let held = self.held_unlisted.get(&address).ok_or(OperationError::UnknownServer)?;
+        if *held == state {
+            self.held_unlisted.remove(&address);
+        }
+        Ok(())
+    }
+
     /// Forgets servers long gone that are not in use, so that a fleet that is replaced costs no memory, and tells
     /// which; looked for once a period.
     pub(crate) fn expire(&mut self, now: Micros, in_use: impl Fn(ServerId) -> bool) -> Vec<ServerId> {
--- a/crates/stepspur-conductor/src/service/distribution/apply.rs
+++ b/crates/stepspur-conductor/src/service/distribution/apply.rs
@@ -5,6 +5,7 @@
 //! restart comes to the same.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use tokio::time::timeout;
 
 use super::super::core::Inbox;
-use crate::engine::{Operation, OperationError};
+use crate::engine::{HoldKind, Operation, OperationError};
 
 /// An engine that has not answered after this is tried again later. The subscriber itself waits for two seconds.
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -157,14 +158,18 @@
     }
 }
 
+fn hold(server: SocketAddr, kind: HoldKind, on: bool) -> Operation {
+    Operation::Hold { server, kind, on }
+}
+
 /// What a setting orders. An engine holds a server in one way at a time: the last order takes the place of the other.
 fn ordering(target: &Target, setting: Setting) -> Result<Operation, ApplyError> {
     match (target, setting) {
         (Target::Class(class), Setting::LevelPpm(ppm)) => {
             Ok(Operation::Level { class: class.clone(), share: f64::from(ppm) / f64::from(WHOLE_PPM) })
         }
-        (Target::Server(server), Setting::Draining) => Ok(Operation::Drain { server: *server, on: true }),
-        (Target::Server(server), Setting::Withdrawn) => Ok(Operation::Withdraw { server: *server, on: true }),
+        (Target::Server(server), Setting::Draining) => Ok(hold(*server, HoldKind::Draining, true)),
+        (Target::Server(server), Setting::Withdrawn) => Ok(hold(*server, HoldKind::Withdrawn, true)),
         _ => Err(ApplyError::Mismatch),
     }
 }
@@ -175,10 +180,8 @@
         (Target::Class(class), Setting::LevelPpm(_)) => {
             Ok(Operation::Level { class: class.clone(), share: 1.0 })
         }
-        (Target::Server(server), Setting::Draining) => Ok(Operation::Drain { server: *server, on: false }),
-        (Target::Server(server), Setting::Withdrawn) => {
-            Ok(Operation::Withdraw { server: *server, on: false })
-        }
+        (Target::Server(server), Setting::Draining) => Ok(hold(*server, HoldKind::Draining, false)),
+        (Target::Server(server), Setting::Withdrawn) => Ok(hold(*server, HoldKind::Withdrawn, false)),
         _ => Err(ApplyError::Mismatch),
     }
 }
--- a/crates/stepspur-conductor/src/service/distribution/apply/tests.rs
+++ b/crates/stepspur-conductor/src/service/distribution/apply/tests.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 
 use super::TenantEngines;
-use crate::engine::{Operation, OperationError};
+use crate::engine::{HoldKind, Operation, OperationError};
 use crate::service::core::Inbox;
 
 /// An engine's task that writes its orders down, and refuses those for what it does not know.
@@ -56,11 +56,11 @@
 }
 
 fn drain(on: bool) -> Operation {
-    Operation::Drain { server: server(), on }
+    Operation::Hold { server: server(), kind: HoldKind::Draining, on }
 }
 
 fn withdraw(on: bool) -> Operation {
-    Operation::Withdraw { server: server(), on }
+    Operation::Hold { server: server(), kind: HoldKind::Withdrawn, on }
 }
 
 fn level(share: f64) -> Operation {
