--- a/crates/stepspur-scale/src/capacity/fleet.rs
+++ b/crates/stepspur-scale/src/capacity/fleet.rs
@@ -7,6 +7,9 @@
 use anyhow::Context;
 use serde::Deserialize;
 
+use crate::fleet::members::{Group, MemberUsage};
+use crate::fleet::peers::PeerKind;
+use crate::fleet::report::{BURST, MEAN, Swap};
 use crate::slopes::rounded;
 
 /// Runs of the scale rig: what `fleet --json` wrote, one run or several sizes.
@@ -33,6 +36,9 @@
     start: FullStart,
     /// Its phases.
     phases: Vec<Phase>,
+    /// Real against hollow conductors, if it was asked for.
+    #[serde(default)]
+    swap: Option<Swap>,
     /// What the judge holds against it.
     verdict: Verdict,
 }
@@ -58,6 +64,10 @@
     travel: Travel,
     usage: BTreeMap<String, RoleUsage>,
     level_ms: Option<f64>,
+    #[serde(default)]
+    level_real_ms: Option<f64>,
+    #[serde(default)]
+    members: Vec<MemberUsage>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -118,18 +128,19 @@
         rounded(report.start.real_ms),
         report.verdict.named.len()
     );
-    text += "| phase | changes | in force at the last, ms: p50, p99, most | at the last proxy | never | level after, ms |\n\
-             | --- | --- | --- | --- | --- | --- |\n";
+    text += "| phase | changes | in force at the last, ms: p50, p99, most | at the last proxy | never | level after, ms: hollow | real, at their proxies |\n\
+             | --- | --- | --- | --- | --- | --- | --- |\n";
     for phase in &report.phases {
         let spread = |spread: &Spread| {
             format!("{}, {}, {}", rounded(spread.p50_ms), rounded(spread.p99_ms), rounded(spread.most_ms))
         };
-        let level = phase.level_ms.map_or(String::new(), rounded);
+        let level = |level: Option<f64>| level.map_or(String::new(), rounded);
+        let (hollow, real) = (level(phase.level_ms), level(phase.level_real_ms));
         let Travel { in_force, at_proxies, missing } = &phase.travel;
         let (in_force, at_proxies) = (spread(in_force), spread(at_proxies));
         let _ = writeln!(
             text,
-            "| {} | {} | {in_force} | {at_proxies} | {missing} | {level} |",
+            "| {} | {} | {in_force} | {at_proxies} | {missing} | {hollow} | {real} |",
             phase.name, phase.changes
         );
     }
@@ -141,5 +152,43 @@
             let _ = writeln!(text, "| {} | {} | {figures} |", phase.name, role.replace('_', " "));
         }
     }
-    text
+    text + &peers(&report.phases) + &swapped(report.swap)
+}
+
+/// With whom control members exchange bytes, in the two phases without faults; nothing where no run counted it.
+fn peers(phases: &[Phase]) -> String {
+    let mut rows = String::new();
+    for phase in phases.iter().filter(|phase| [MEAN, BURST].contains(&phase.name.as_str())) {
+        for group in Group::ALL {
+            for kind in PeerKind::ALL {
+                let Some(usage) = group.mean(&phase.members, kind) else { continue };
+                let figures = [usage.connections, usage.bytes_per_s_with_headers, usage.segments_per_s];
+                let figures = figures.map(rounded).join(" | ");
+                let _ =
+                    writeln!(rows, "| {} | {} | {} | {figures} |", phase.name, group.label(), kind.label());
+            }
+        }
+    }
+    if rows.is_empty() {
+        return rows;
+    }
+    "\n| phase | control member | with | connections | bytes/s with headers | segments/s |\n| --- | --- | --- | --- | --- | --- |\n".to_owned()
+        + &rows
+}
+
+/// Real against hollow conductors.
+fn swapped(swap: Option<Swap>) -> String {
+    let Some(swap) = swap else { return String::new() };
+    let (bytes, messages) = swap.off_by();
+    format!(
+        "\n{} real conductors swapped for hollow ones: {} and {} bytes a second without headers ({} % off), {} and {} \
+         messages a second ({} % off).\n",
+        swap.conductors,
+        rounded(swap.real_bytes_per_s),
+        rounded(swap.hollow_bytes_per_s),
+        rounded(bytes * 100.0),
+        rounded(swap.real_messages_per_s),
+        rounded(swap.hollow_messages_per_s),
+        rounded(messages * 100.0)
+    )
 }
--- a/crates/stepspur-scale/src/capacity/mod.rs
+++ b/crates/stepspur-scale/src/capacity/mod.rs
@@ -8,7 +8,7 @@
 mod missing;
 mod page;
 mod roles;
-mod target;
+pub mod target;
 #[cfg(test)]
 mod tests;
 
--- a/crates/stepspur-scale/src/capacity/roles.rs
+++ b/crates/stepspur-scale/src/capacity/roles.rs
@@ -15,11 +15,11 @@
 const LEAST_REQUESTS_MEASURED: f64 = 100.0;
 /// The decision module's probes: a part of the requests, each server once in a second at most and in eight at least.
 pub const PROBED_PART: f64 = 0.15;
-const PROBE_LONGEST_S: f64 = 8.0;
+pub const PROBE_LONGEST_S: f64 = 8.0;
 /// A long poll of the list ends after this, as set by default.
-const LIST_POLL_S: f64 = 10.0;
+pub const LIST_POLL_S: f64 = 10.0;
 /// A side of a stream that sent nothing for so long pings, as set by default.
-const KEEP_ALIVE_S: f64 = 5.0;
+pub const KEEP_ALIVE_S: f64 = 5.0;
 /// Changes of the list that a restart makes: draining, ready again.
 const ENTRIES_OF_RESTART: f64 = 2.0;
 /// Bytes of a command behind the slope of entries.
--- a/crates/stepspur-scale/src/capacity/target.rs
+++ b/crates/stepspur-scale/src/capacity/target.rs
@@ -7,6 +7,8 @@
     pub conductors: f64,
     /// Nodes, each a server.
     pub servers: f64,
+    /// Services.
+    pub services: f64,
     /// Regions.
     pub regions: f64,
     /// Zones over all regions.
@@ -37,6 +39,7 @@
 pub const USERS: Target = Target {
     conductors: 2_400.0,
     servers: 19_000.0,
+    services: 930.0,
     regions: 22.0,
     zones: 79.0,
     requests_per_s: 710_000.0,
--- a/crates/stepspur-scale/src/capacity/tests.rs
+++ b/crates/stepspur-scale/src/capacity/tests.rs
@@ -257,3 +257,54 @@
     }
     assert!(!table.contains("none: exponent"));
 }
+
+#[test]
+fn a_scale_run_is_told_with_the_leaders_peers_and_the_swap() {
+    let spread = r#"{"count": 3, "p50_ms": 1.0, "p99_ms": 2.0, "most_ms": 30.0}"#;
+    let peer = r#"{"connections": 12.0, "bytes_per_s": 1.0, "bytes_per_s_with_headers": 340.0,
+        "segments_per_s": 6.5, "messages_per_s": 3.0}"#;
+    let phase = |name: &str, level: &str| {
+        format!(
+            r#"{{"name": "{name}", "changes": 32, "level_ms": {level}, "level_real_ms": {level}, "usage": {{}},
+                "travel": {{"in_force": {spread}, "at_proxies": {spread}, "missing": 0}},
+                "members": [{{"member": 2, "votes": true, "leads": true, "seconds": 9.0, "cpu_percent": 1.0,
+                    "peers": {{"subscribers": {peer}}}}}]}}"#
+        )
+    };
+    let text = format!(
+        r#"{{"runs": [{{"fleet": {{"conductors": 150, "real": 24, "controls": 15, "servers": 19000}},
+            "start": {{"hollow_ms": 900.0, "real_ms": 1100.0}}, "verdict": {{"named": []}},
+            "phases": [{}, {}], "swap": {{"conductors": 20, "real_bytes_per_s": 8.0, "hollow_bytes_per_s": 8.4,
+                "real_messages_per_s": 0.5, "hollow_messages_per_s": 0.46}}}}],
+            "growth": []}}"#,
+        phase("mean", "null"),
+        phase("a region cut off", "1250.0")
+    );
+    let fleet: fleet::Fleet = serde_json::from_str(&text).unwrap();
+    let table = fleet::table(Some(&fleet));
+    for wanted in [
+        "| mean | 32 | 1.00, 2.00, 30.0 | 1.00, 2.00, 30.0 | 0 |  |  |",
+        "| a region cut off | 32 | 1.00, 2.00, 30.0 | 1.00, 2.00, 30.0 | 0 | 1250 | 1250 |",
+        "| mean | leader | subscribers | 12.0 | 340 | 6.50 |",
+        "20 real conductors swapped for hollow ones: 8.00 and 8.40 bytes a second without headers (5.00 % off), \
+         0.500 and 0.460 messages a second (8.00 % off).",
+    ] {
+        assert!(table.contains(wanted), "{wanted}: {table}");
+    }
+    assert!(!table.contains("| a region cut off | leader |"), "under faults the leader changes: {table}");
+}
+
+/// What the page reckons with is set by the program: its settings' defaults, and constants of the decision module.
+#[test]
+fn spans_of_the_reckoning_are_those_of_the_program() {
+    let listen = stepspur_conductor::config::Listen::default();
+    assert_eq!(roles::KEEP_ALIVE_S, listen.keepalive.as_secs_f64());
+    let source: stepspur_conductor::config::Source =
+        toml::from_str("kind = \"http\"\naddress = \"127.0.0.1:1\"\n").unwrap();
+    let stepspur_conductor::config::Source::Http { poll, .. } = source else { panic!("{source:?}") };
+    assert_eq!(roles::LIST_POLL_S, poll.as_secs_f64());
+    let policy = include_str!("../../../../src/policy.rs");
+    let (part, longest) = (roles::PROBED_PART, roles::PROBE_LONGEST_S);
+    assert!(policy.contains(&format!("const PROBE_PART: f64 = {part};")), "{part}");
+    assert!(policy.contains(&format!("const PROBE_MOST: Micros = {longest}_000_000;")), "{longest}");
+}
--- a/crates/stepspur-scale/src/fit.rs
+++ b/crates/stepspur-scale/src/fit.rs
@@ -93,6 +93,14 @@
     slope.is_finite().then_some(Line { intercept: mean_y - slope * mean_x, slope })
 }
 
+/// The exponent of growth, e in y ~ x^e: the slope of the best line through the logarithms. Points that are not above 0
+/// have none and are left out; none through fewer than two sizes.
+pub fn exponent(points: &[(f64, f64)]) -> Option<f64> {
+    let positive = points.iter().filter(|(x, y)| *x > 0.0 && *y > 0.0);
+    let logarithms: Vec<(f64, f64)> = positive.map(|(x, y)| (x.ln(), y.ln())).collect();
+    least_squares(&logarithms).map(|line| line.slope)
+}
+
 /// What repeats say of one measured thing by size.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Fit {
@@ -111,13 +119,9 @@
     let lines = lines(points);
     let intercepts: Vec<f64> = lines.iter().map(|line| line.intercept).collect();
     let slopes: Vec<f64> = lines.iter().map(|line| line.slope).collect();
-    let logarithms = |point: &Point| Point { x: point.x.ln(), y: point.y.ln(), ..*point };
     let positive = points.iter().all(|point| point.x > 0.0 && point.y > 0.0);
-    let exponents: Vec<f64> = if positive {
-        self::lines(&points.iter().map(logarithms).collect::<Vec<_>>()).iter().map(|l| l.slope).collect()
-    } else {
-        Vec::new()
-    };
+    let repeats = if positive { by_repeat(points) } else { BTreeMap::new() };
+    let exponents: Vec<f64> = repeats.values().filter_map(|points| exponent(points)).collect();
     Some(Fit {
         intercept: Estimate::of(&intercepts)?,
         slope: Estimate::of(&slopes)?,
--- a/crates/stepspur-scale/src/fit/tests.rs
+++ b/crates/stepspur-scale/src/fit/tests.rs
@@ -31,6 +31,17 @@
     assert!(exponent.half_width.unwrap() < 1e-6, "{exponent:?}");
 }
 
+#[test]
+fn exponents_are_slopes_of_logarithms() {
+    let square: Vec<(f64, f64)> = [150.0, 300.0, 2_400.0].iter().map(|x| (*x, x * x)).collect();
+    assert!((exponent(&square).unwrap() - 2.0).abs() < 1e-9);
+    let flat = [(150.0, 3.0), (2_400.0, 3.0)];
+    assert!(exponent(&flat).unwrap().abs() < 1e-9);
+    assert_eq!(exponent(&flat[..1]), None);
+    // A figure of nothing has no logarithm.
+    assert_eq!(exponent(&[(150.0, 0.0), (300.0, 1.0)]), None);
+}
+
 #[test]
 fn a_single_repeat_has_no_interval_and_a_zero_no_exponent() {
     let one = points(&[&|x| x - 20.0], &[20.0, 40.0, 60.0, 80.0]);
--- a/crates/stepspur-scale/src/fleet/changes.rs
+++ b/crates/stepspur-scale/src/fleet/changes.rs
@@ -96,9 +96,16 @@
         }
     }
 
-    /// A change for a service with a real conductor, whichever.
-    pub fn draw_for_real(&mut self, place: usize) -> Change {
-        self.service_level(place % self.plan.real.clamp(1, self.plan.services.len()))
+    /// A change for the service of a conductor.
+    pub fn draw_for(&mut self, conductor: usize) -> Change {
+        let service = self.plan.conductors[conductor].services[0];
+        self.service_level(service)
+    }
+
+    /// A hold of a server of a conductor's service; a level, if one is held there already.
+    pub fn hold_for(&mut self, conductor: usize) -> Change {
+        let service = self.plan.conductors[conductor].services[0];
+        if self.held.contains_key(&service) { self.service_level(service) } else { self.hold_at(service) }
     }
 
     fn service_level(&mut self, place: usize) -> Change {
@@ -136,15 +143,23 @@
     /// Holds a server of one of the first services, or lifts the hold there.
     fn hold(&mut self, among: usize) -> Change {
         let place = self.rng.random_range(0..among);
+        match self.held.remove(&place) {
+            Some(server) => {
+                let scope = scope(Some(&self.plan.services[place].name), None, None);
+                Change { scope, target: Target::Server(server), setting: None }
+            }
+            None => self.hold_at(place),
+        }
+    }
+
+    /// Holds a server of a service without a hold; one with few servers gets a level.
+    fn hold_at(&mut self, place: usize) -> Change {
         let plan = Arc::clone(&self.plan);
         let service = &plan.services[place];
         if service.servers.len() < SERVERS_TO_HOLD_ONE {
             return self.service_level(place);
         }
         let scope = scope(Some(&service.name), None, None);
-        if let Some(held) = self.held.remove(&place) {
-            return Change { scope, target: Target::Server(held), setting: None };
-        }
         let server = service.servers[self.rng.random_range(0..service.servers.len())];
         self.held.insert(place, server);
         let setting = if self.rng.random_bool(0.5) { Setting::Draining } else { Setting::Withdrawn };
--- a/crates/stepspur-scale/src/fleet/changes/tests.rs
+++ b/crates/stepspur-scale/src/fleet/changes/tests.rs
@@ -48,6 +48,20 @@
     }
 }
 
+#[test]
+fn a_server_of_a_conductor_is_held_once() {
+    let plan = plan();
+    let mut schedule = Schedule::new(Arc::clone(&plan), 5);
+    let first = schedule.hold_for(3);
+    let Target::Server(server) = first.target else { panic!("{first:?}") };
+    assert!(plan.services[plan.conductors[3].services[0]].servers.contains(&server));
+    assert!(plan.conductors[3].interest.covers(&first.scope) && first.setting.is_some());
+    // It stays held: whatever comes next is a level.
+    let second = schedule.hold_for(3);
+    assert!(matches!(second.setting, Some(Setting::LevelPpm(_))), "{second:?}");
+    assert!(plan.conductors[3].interest.covers(&second.scope));
+}
+
 #[test]
 fn proposals_name_no_key_twice_and_keep_the_order() {
     let plan = plan();
--- a/crates/stepspur-scale/src/fleet/cluster.rs
+++ b/crates/stepspur-scale/src/fleet/cluster.rs
@@ -7,8 +7,6 @@
 use std::time::Duration;
 
 use anyhow::{Context, ensure};
-use serde_json::Value;
-use stepspur_conductor::http;
 use stepspur_distribution::version::Version;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -16,13 +14,17 @@
 use super::history::{History, SubscriberId};
 use super::measure::{Role, Sampler};
 use super::operators::{Keys, Operator};
+use super::peers::Member;
 use super::plan::{Plan, Sizes};
 use super::processes::{HollowProcess, PROCESSES_MOST, Process, ServerProcess, run_program};
 use super::proxies::Proxies;
+use super::real::{Files, RealConductor};
 use super::record::Recorder;
-use super::settings::{self, ControlAddresses, ControlFleet};
+use super::relay::Relay;
+use super::settings::{ControlAddresses, ControlFleet};
+use crate::gate::Gate;
 use crate::hollow::servers::SERVERS_MOST;
-use crate::hollow_conductors::message::{Command, HollowConductor};
+use crate::hollow_conductors::message::{Command, ControlPlace, HollowConductor};
 
 /// Processes of hollow conductors at most.
 const HOLLOW_PROCESSES_MOST: usize = 40;
@@ -34,10 +36,6 @@
 const LEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Between two looks at something that is waited for.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
-/// A status page answers within this.
-const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
-/// Bytes of a status page at most.
-const STATUS_BYTES_MOST: usize = 1 << 20;
 
 /// A control member: its process while it runs.
 struct ControlProcess {
@@ -46,13 +44,8 @@
     process: Option<Process>,
 }
 
-/// A real conductor.
-pub struct RealConductor {
-    /// Its place in the plan.
-    pub id: SubscriberId,
-    process: Process,
-    status: SocketAddr,
-}
+/// Real conductors on their way back.
+pub type Restarting = JoinHandle<anyhow::Result<Vec<RealConductor>>>;
 
 /// The fleet of a run. Dropping it kills its processes.
 pub struct Cluster {
@@ -69,6 +62,9 @@
     pub hollow: Vec<HollowProcess>,
     /// Real conductors.
     pub real: Vec<RealConductor>,
+    /// Relays before the real conductors whose links may be cut, and the gate that cuts them.
+    relays: BTreeMap<SubscriberId, Relay>,
+    relayed: Arc<Gate>,
     /// Their proxies.
     pub proxies: Proxies,
     /// What was recorded.
@@ -99,7 +95,7 @@
         }
         let control = ControlFleet { members, keep_alive };
         let keys = Keys::new(&folder.join("keys"), &control.operators())?;
-        let sampler = Sampler::start(control.places().iter().map(|place| place.address.to_string()));
+        let sampler = Sampler::start(&control);
         sampler.watch(std::process::id(), Role::Rig, 1);
         servers.iter().for_each(|servers| sampler.watch(servers.process.pid, Role::Servers, 1));
         let mut cluster = Self {
@@ -112,6 +108,8 @@
             servers,
             hollow: Vec::new(),
             real: Vec::new(),
+            relays: BTreeMap::new(),
+            relayed: Arc::default(),
             proxies: Proxies::new(),
             recorder: Arc::new(Recorder::default()),
             sampler,
@@ -156,7 +154,8 @@
         let started = futures_util::future::join_all(started).await;
         for (place, started) in stopped.into_iter().zip(started) {
             let (process, _) = started?;
-            self.sampler.watch(process.pid, Role::Control, 1);
+            let (member, _) = &self.control.members[place];
+            self.sampler.watch_member(process.pid, Member { id: member.id, votes: member.votes });
             self.controls[place].process = Some(process);
         }
         Ok(())
@@ -232,46 +231,105 @@
         Ok(())
     }
 
+    /// Has the links of the real conductors of a region go through relays, so that they can be cut. It must come before
+    /// they start.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on.
+    pub async fn relay_links_of(&mut self, region: &str) -> anyhow::Result<()> {
+        let places = self.control.places();
+        for place in self.plan.real_of(region) {
+            let relay = Relay::start(&places, Arc::clone(&self.relayed)).await?;
+            let addresses = relay.control().iter().map(|member| member.address.to_string());
+            self.sampler.control_at(addresses);
+            self.relays.insert(self.plan.conductors[place].id, relay);
+        }
+        Ok(())
+    }
+
+    /// Cuts the links of a region's conductors, hollow and relayed ones, or heals them.
+    ///
+    /// # Errors
+    /// A process that has ended.
+    pub async fn cut_links(&mut self, region: &str, cut: bool) -> anyhow::Result<()> {
+        self.relayed.set(cut);
+        let region = region.to_owned();
+        let command = if cut { Command::Cut { region } } else { Command::Heal { region } };
+        self.tell_hollow(&command).await
+    }
+
     /// Starts all conductors at once, real and hollow.
     ///
     /// # Errors
     /// One that does not start.
     pub async fn begin(&mut self) -> anyhow::Result<()> {
         let places = self.control.places();
+        let mut real = Vec::new();
+        for conductor in self.plan.real() {
+            let control: &[ControlPlace] = self.relays.get(&conductor.id).map_or(&places, Relay::control);
+            real.push(Files::write(&self.program, &self.folder, &self.plan, conductor, control)?);
+        }
         let begun = self.hollow.iter_mut().map(|process| process.begin(places.clone()));
         let begun = futures_util::future::join_all(begun);
-        let real = self
-            .plan
-            .real()
-            .iter()
-            .map(|conductor| start_real(&self.program, &self.folder, &self.plan, conductor, &places));
-        let (begun, real) = tokio::join!(begun, futures_util::future::join_all(real));
+        let real = futures_util::future::join_all(real.into_iter().map(Files::start));
+        let (begun, real) = tokio::join!(begun, real);
         begun.into_iter().collect::<anyhow::Result<()>>()?;
         for started in real {
-            let (conductor, listening) = started?;
-            self.sampler.watch(conductor.process.pid, Role::RealConductor, 1);
-            self.proxies.join(conductor.id, listening);
-            self.real.push(conductor);
+            self.take_real(started?);
+        }
+        Ok(())
+    }
+
+    /// Takes a real conductor that has started.
+    fn take_real(&mut self, conductor: RealConductor) {
+        self.sampler.watch(conductor.pid(), Role::RealConductor, 1);
+        self.proxies.join(conductor.id, conductor.listening);
+        self.real.push(conductor);
+        self.real.sort_by_key(|conductor| conductor.id);
+    }
+
+    /// Lets go of real conductors that are about to end: those of `ids`.
+    fn release_real(&mut self, ids: &[SubscriberId]) -> Vec<RealConductor> {
+        let released: Vec<RealConductor> =
+            self.real.extract_if(.., |conductor| ids.contains(&conductor.id)).collect();
+        for conductor in &released {
+            self.sampler.forget(conductor.pid());
+            self.proxies.forget_address(conductor.id);
+        }
+        released
+    }
+
+    /// Ends real conductors at once and starts them again from what they have kept, in a task of its own. Its result is
+    /// for [`Cluster::restarted`].
+    pub fn restart_real(&mut self, ids: &[SubscriberId]) -> Restarting {
+        let released = self.release_real(ids);
+        tokio::spawn(async move {
+            let ended = released.into_iter().map(RealConductor::end_to_restart);
+            let ended = futures_util::future::join_all(ended).await;
+            let started = futures_util::future::join_all(ended.into_iter().map(Files::start)).await;
+            started.into_iter().collect()
+        })
+    }
+
+    /// Waits for real conductors that were started again, and takes them back.
+    ///
+    /// # Errors
+    /// One that does not start.
+    pub async fn restarted(&mut self, restarting: Restarting) -> anyhow::Result<()> {
+        for conductor in restarting.await?? {
+            self.take_real(conductor);
         }
         Ok(())
     }
 
-    /// Waits until every real conductor acts by a version, and tells when the last was seen to.
+    /// Waits until every real conductor acts by a version.
     ///
     /// # Errors
     /// One that does not in time, with its standing.
     pub async fn real_act_by(&self, version: Version, within: Duration) -> anyhow::Result<()> {
         let end = Instant::now() + within;
         for conductor in &self.real {
-            loop {
-                let standing = conductor.standing().await;
-                let in_force = standing.as_ref().ok().and_then(in_force);
-                if in_force >= Some(version) {
-                    break;
-                }
-                ensure!(Instant::now() < end, "{:?} does not act by {version}: {standing:?}", conductor.id);
-                sleep(LOOK_EVERY).await;
-            }
+            conductor.acts_by(version, end).await?;
         }
         Ok(())
     }
@@ -312,16 +370,22 @@
         Ok(())
     }
 
-    /// Ends real conductors, and starts hollow ones in their places.
+    /// Real conductors to swap for hollow ones, those without a relay first.
+    pub fn to_swap(&self, count: usize) -> Vec<SubscriberId> {
+        let mut ids: Vec<SubscriberId> = self.real.iter().map(|conductor| conductor.id).collect();
+        ids.sort_by_key(|id| (self.relays.contains_key(id), *id));
+        ids.truncate(count);
+        ids
+    }
+
+    /// Ends real conductors, and starts hollow ones in their places: their process.
     ///
     /// # Errors
     /// A process that does not start.
-    pub async fn swap(&mut self, count: usize) -> anyhow::Result<u32> {
-        let swapped: Vec<HollowConductor> = self.plan.real().iter().take(count).map(hollow).collect();
-        for conductor in self.real.drain(..count) {
-            self.sampler.forget(conductor.process.pid);
-            conductor.process.terminate().await;
-        }
+    pub async fn swap(&mut self, ids: &[SubscriberId]) -> anyhow::Result<u32> {
+        let ended = self.release_real(ids).into_iter().map(RealConductor::end);
+        futures_util::future::join_all(ended).await;
+        let swapped = ids.iter().map(|id| hollow(&self.plan.conductors[id.0 as usize])).collect();
         let log = self.folder.join("hollow-swapped.log");
         let mut process = HollowProcess::start(swapped, Arc::clone(&self.recorder), &log).await?;
         process.begin(self.control.places()).await?;
@@ -352,7 +416,8 @@
     pub async fn stop(self) {
         self.proxies.stop().await;
         futures_util::future::join_all(self.hollow.into_iter().map(HollowProcess::end)).await;
-        futures_util::future::join_all(self.real.into_iter().map(|real| real.process.terminate())).await;
+        futures_util::future::join_all(self.real.into_iter().map(RealConductor::end)).await;
+        futures_util::future::join_all(self.relays.into_values().map(Relay::stop)).await;
         let controls = self.controls.into_iter().filter_map(|control| control.process);
         futures_util::future::join_all(controls.map(Process::terminate)).await;
         futures_util::future::join_all(self.servers.into_iter().map(|servers| servers.process.kill())).await;
@@ -360,33 +425,6 @@
     }
 }
 
-impl RealConductor {
-    /// Its process.
-    pub fn pid(&self) -> u32 {
-        self.process.pid
-    }
-
-    /// What its status page says of the distribution.
-    ///
-    /// # Errors
-    /// No answer.
-    async fn standing(&self) -> anyhow::Result<Value> {
-        let (status, body) =
-            http::get(self.status, "/v1/distribution", STATUS_TIMEOUT, STATUS_BYTES_MOST).await?;
-        ensure!(status.is_success(), "{status}");
-        Ok(serde_json::from_slice(&body)?)
-    }
-}
-
-/// The version that a subscriber acts by, as its status page words it: an object, or `TERM.INDEX`.
-fn in_force(standing: &Value) -> Option<Version> {
-    let version = &standing["subscriber"]["in_force"];
-    match version.as_str() {
-        Some(text) => text.parse().ok(),
-        None => serde_json::from_value(version.clone()).ok(),
-    }
-}
-
 fn hollow(conductor: &super::plan::Conductor) -> HollowConductor {
     HollowConductor { id: conductor.id, name: conductor.name.clone(), interest: conductor.interest.clone() }
 }
@@ -417,23 +455,6 @@
     Ok(ControlAddresses { council: addresses[0], subscribers: addresses[1], operators: addresses[2] })
 }
 
-async fn start_real(
-    program: &Path,
-    folder: &Path,
-    plan: &Plan,
-    conductor: &super::plan::Conductor,
-    control: &[crate::hollow_conductors::message::ControlPlace],
-) -> anyhow::Result<(RealConductor, SocketAddr)> {
-    let own = folder.join(&conductor.name);
-    std::fs::create_dir_all(&own)?;
-    std::fs::write(own.join("nodes.toml"), settings::nodes(plan, conductor))?;
-    let path = own.join("conductor.toml");
-    std::fs::write(&path, settings::conductor(conductor, control, &own))?;
-    let (process, said) = run_program(program, &path, &own.join("log")).await?;
-    let status = said.status.context("a conductor without a status page")?;
-    Ok((RealConductor { id: conductor.id, process, status }, said.listening))
-}
-
 /// Hollow conductors by the place of their process.
 pub fn by_process(cluster: &Cluster) -> BTreeMap<SubscriberId, usize> {
     let of = |(place, process): (usize, &HollowProcess)| {
--- a/crates/stepspur-scale/src/fleet/history.rs
+++ b/crates/stepspur-scale/src/fleet/history.rs
@@ -9,6 +9,8 @@
 use stepspur_distribution::document::{Change, Document, Interest, Key, Setting};
 use stepspur_distribution::version::Version;
 
+use super::orders::ProxyOrders;
+
 /// Microseconds since 1970, by the machine's clock. All processes of a run share the machine.
 pub type Micros = u64;
 
@@ -133,6 +135,24 @@
     pub documents: usize,
 }
 
+/// A real conductor was ended and started again from what it had kept.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Down {
+    /// Which.
+    pub subscriber: SubscriberId,
+    /// When it was told to end.
+    pub from: Micros,
+    /// When it listened again.
+    pub back: Micros,
+}
+
+impl Down {
+    /// True: it is this conductor, and it was away at this time.
+    pub fn is_away(&self, subscriber: SubscriberId, at: Micros) -> bool {
+        self.subscriber == subscriber && (self.from..=self.back).contains(&at)
+    }
+}
+
 /// Who takes part.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Participant {
@@ -161,6 +181,12 @@
     pub answers: Vec<Answered>,
     /// Regions that were cut off.
     pub cuts: Vec<Cut>,
+    /// Real conductors: what is known of them is what their proxies were ordered.
+    pub real: Vec<Participant>,
+    /// What the proxies of real conductors were ordered.
+    pub proxies: Vec<ProxyOrders>,
+    /// Real conductors that were started again.
+    pub down: Vec<Down>,
     /// What subscribers held at the end of phases.
     pub holdings: Vec<Holding>,
 }
--- a/crates/stepspur-scale/src/fleet/judge.rs
+++ b/crates/stepspur-scale/src/fleet/judge.rs
@@ -1,6 +1,7 @@
 //! The judge of a scale run: pure functions over what the run recorded. It knows the changes that were agreed and says
 //! what every subscriber must hold, without the program's own book.
 
+mod real;
 #[cfg(test)]
 mod tests;
 
@@ -14,9 +15,16 @@
 use super::history::{
     Acknowledged, Agreed, Applied, Cut, Documents, History, Micros, SubscriberId, digest, key_digest, put,
 };
+pub use real::LetGo;
+use real::RealConductors;
 
+/// What was agreed is at the proxies of real conductors within this while nothing is broken. A run cuts links only once it
+/// has passed, so that nothing is on its way.
+pub const ORDERED_WITHIN: Micros = 1_000_000;
 /// A region is level within this after its links were healed.
 pub const LEVEL_AFTER_HEALING: Micros = 5_000_000;
+/// The proxies of a real conductor that was started again have all that was agreed within this after it listens.
+pub const LEVEL_AFTER_RESTART: Micros = 5_000_000;
 /// An answer rests on summaries that are at most 3 s old when it is given, so that a subscriber that was restarted may
 /// count as it was; the rest is for the ways of the summary and of the answer.
 pub const SUMMARY_AGE_MOST: Micros = 3_500_000;
@@ -71,6 +79,34 @@
         /// When the answer was read.
         at: Micros,
     },
+    /// A real conductor that was cut off no longer went by a document that it held: its proxies were ordered something
+    /// that goes against it, or at the healing were not ordered it.
+    NotHeldWhileCutOff {
+        /// The region.
+        region: String,
+        /// Who.
+        subscriber: SubscriberId,
+        /// The version of the document.
+        missing: Version,
+        /// When.
+        at: Micros,
+    },
+    /// A real conductor that was started again is not level in time.
+    NotLevelAfterRestart {
+        /// Who.
+        subscriber: SubscriberId,
+        /// The version that its proxies were not ordered in time.
+        missing: Version,
+    },
+    /// A real conductor that was started again told a proxy to use a server that its file holds.
+    HeldServerLetGo {
+        /// Who.
+        subscriber: SubscriberId,
+        /// The version of the document that holds the server.
+        version: Version,
+        /// When.
+        at: Micros,
+    },
     /// A region that was cut off is not level in time after its links were healed.
     NotLevel {
         /// The region.
@@ -95,8 +131,16 @@
     pub false_everywhere: usize,
     /// Subscribers of a healed region that were not level in time.
     pub not_level: usize,
+    /// Documents that a real conductor no longer went by while it was cut off.
+    pub not_held_while_cut_off: usize,
+    /// Real conductors that were not level in time after a restart.
+    pub not_level_after_restart: usize,
+    /// Servers that the file of a real conductor held and that it let go after a restart.
+    pub held_servers_let_go: usize,
     /// Holdings, acknowledgements and answers that were looked at.
     pub looked_at: usize,
+    /// Documents of real conductors that were cut off or restarted, and were looked at.
+    pub looked_at_real: usize,
     /// The first faults of each kind.
     pub named: Vec<Fault>,
 }
@@ -110,15 +154,23 @@
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "looked at {} holdings, acknowledgements and answers", self.looked_at)?;
         writeln!(
             f,
-            "other documents {}, versions back {}, early acknowledgements {}, false everywhere {}, not level {}",
+            "looked at {} holdings, acknowledgements and answers, and at {} documents of real conductors",
+            self.looked_at, self.looked_at_real
+        )?;
+        writeln!(
+            f,
+            "other documents {}, versions back {}, early acknowledgements {}, false everywhere {}, not level {}, \
+             not held while cut off {}, not level after a restart {}, held servers let go {}",
             self.other_documents,
             self.versions_back,
             self.early_acknowledgements,
             self.false_everywhere,
-            self.not_level
+            self.not_level,
+            self.not_held_while_cut_off,
+            self.not_level_after_restart,
+            self.held_servers_let_go
         )?;
         self.named.iter().try_for_each(|fault| writeln!(f, "  {fault:?}"))
     }
@@ -126,16 +178,31 @@
 
 /// Judges a run whole.
 pub fn judge(history: &History) -> Verdict {
-    let timelines = Timelines::of(history);
+    let changes = ByService::of(&history.agreed);
+    let timelines = Timelines::of(history, &changes);
+    let real = RealConductors::of(history, &changes);
+    let mut not_level = level_after_healing(history, &timelines);
+    not_level.extend(real.not_level_after_healing(history));
     let kinds = [
         same_documents(history, &timelines),
         versions_back(history),
         early_acknowledgements(history, &timelines),
         false_everywhere(history, &timelines),
-        level_after_healing(history, &timelines),
+        not_level,
+        real.not_held_while_cut_off(history),
+        real.not_level_after_restart(history),
+        real.held_servers_let_go(history),
     ];
-    let counts = kinds.each_ref().map(Vec::len);
-    let [other_documents, versions_back, early_acknowledgements, false_everywhere, not_level] = counts;
+    let [
+        other_documents,
+        versions_back,
+        early_acknowledgements,
+        false_everywhere,
+        not_level,
+        not_held_while_cut_off,
+        not_level_after_restart,
+        held_servers_let_go,
+    ] = kinds.each_ref().map(Vec::len);
     let looked_at = history.holdings.len() + history.acknowledged.len() + history.answers.len();
     let named = kinds.into_iter().flat_map(|faults| faults.into_iter().take(NAMED_MOST)).collect();
     Verdict {
@@ -144,11 +211,26 @@
         early_acknowledgements,
         false_everywhere,
         not_level,
+        not_held_while_cut_off,
+        not_level_after_restart,
+        held_servers_let_go,
         looked_at,
+        looked_at_real: real.looked_at(history),
         named,
     }
 }
 
+/// When the proxies of the last real conductor had been ordered all that was agreed by `since`, or by the time at which
+/// the conductor listened again, if it was started again after that; none: some never were.
+pub fn real_level(history: &History, since: Micros) -> Option<Micros> {
+    RealConductors::of(history, &ByService::of(&history.agreed)).level(history, since)
+}
+
+/// Servers that are held and that a real conductor let go for a while after it was started again.
+pub fn let_go_after_restart(history: &History) -> Vec<LetGo> {
+    RealConductors::of(history, &ByService::of(&history.agreed)).let_go_after_restart(history)
+}
+
 /// Every connected subscriber holds the agreed documents of its interest, at the end of every phase. Changes that
 /// were answered after the holding was looked at are no part of it: runs look only once all are agreed.
 fn same_documents(history: &History, timelines: &Timelines<'_>) -> Vec<Fault> {
@@ -248,6 +330,7 @@
 #[derive(Clone, Copy)]
 struct Concern<'a> {
     version: Version,
+    proposed: Micros,
     answered: Micros,
     key: u64,
     change: &'a Change,
@@ -314,8 +397,7 @@
 struct Timelines<'a>(BTreeMap<SubscriberId, Timeline<'a>>);
 
 impl<'a> Timelines<'a> {
-    fn of(history: &'a History) -> Self {
-        let changes = ByService::of(&history.agreed);
+    fn of(history: &'a History, changes: &ByService<'a>) -> Self {
         let mut timelines = BTreeMap::new();
         for participant in &history.participants {
             let timeline = Timeline {
@@ -348,9 +430,9 @@
     fn of(agreed: &'a [Agreed]) -> Self {
         let mut by_service: BTreeMap<Option<&str>, Vec<Concern<'_>>> = BTreeMap::new();
         for agreed in agreed {
-            let (version, answered) = (agreed.version, agreed.answered);
-            for change in &agreed.changes {
-                let concern = Concern { version, answered, key: key_digest(&change.key()), change };
+            let Agreed { version, proposed, answered, ref changes } = *agreed;
+            for change in changes {
+                let concern = Concern { version, proposed, answered, key: key_digest(&change.key()), change };
                 by_service.entry(change.scope.service.as_deref()).or_default().push(concern);
             }
         }
--- a/crates/stepspur-scale/src/fleet/latency.rs
+++ b/crates/stepspur-scale/src/fleet/latency.rs
@@ -87,7 +87,7 @@
 ) -> Result<Option<Micros>, SubscriberId> {
     let mut last = None;
     for participant in participants {
-        if cuts.iter().any(|cut| cut_off(participant, cut, agreed.proposed)) {
+        if cuts.iter().any(|cut| cut_off(&participant.interest.region, cut, agreed.proposed)) {
             continue;
         }
         for change in agreed.changes.iter().filter(|change| participant.interest.covers(&change.scope)) {
@@ -99,10 +99,9 @@
     Ok(last)
 }
 
-/// True: the links of the participant were cut while the change was on its way.
-fn cut_off(participant: &Participant, cut: &Cut, proposed: Micros) -> bool {
-    let end = cut.healed;
-    participant.interest.region == cut.region && proposed + AIM >= cut.from && proposed <= end
+/// True: the links of the region were cut while the change was on its way.
+pub fn cut_off(region: &str, cut: &Cut, proposed: Micros) -> bool {
+    region == cut.region && proposed + AIM >= cut.from && proposed <= cut.healed
 }
 
 /// When the last document that was agreed by then was taken by an engine, if that was later: then everybody was level.
@@ -119,7 +118,7 @@
     history: &History,
     applications: &Applications,
     places: std::ops::Range<usize>,
-    at_proxies: impl Fn(&Agreed) -> Result<Option<Micros>, SubscriberId>,
+    mut at_proxies: impl FnMut(&Agreed) -> Result<Option<Micros>, SubscriberId>,
 ) -> Travel {
     let (mut agreed, mut forced, mut proxies, mut known) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
     let mut travel = Travel::default();
--- a/crates/stepspur-scale/src/fleet/measure.rs
+++ b/crates/stepspur-scale/src/fleet/measure.rs
@@ -12,6 +12,9 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
+use super::members::{MemberSecond, MemberUsage, Standing, usage_by_member};
+use super::peers::{Addresses, Member, MemberProcesses};
+use super::settings::ControlFleet;
 use super::sockets::{Look, Traffic};
 use crate::usage::{Usage, usage};
 
@@ -57,6 +60,9 @@
 /// One look at all processes: spans since the one before.
 type Second = BTreeMap<u32, (Watched, Span)>;
 
+/// The same of control members, with whom they exchanged what.
+type MembersSecond = BTreeMap<Standing, MemberSecond>;
+
 /// What the members of a role used: each figure for one of them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RoleUsage {
@@ -78,12 +84,24 @@
     pub messages_per_s: f64,
 }
 
+/// What was used over a span.
+#[derive(Clone, Debug, Default)]
+pub struct Used {
+    /// By each role.
+    pub roles: BTreeMap<Role, RoleUsage>,
+    /// By each control member.
+    pub members: Vec<MemberUsage>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     watched: BTreeMap<u32, Watched>,
     leader: Option<u32>,
     control_peers: BTreeSet<String>,
+    addresses: Addresses,
+    members: MemberProcesses,
     seconds: Vec<Second>,
+    member_seconds: Vec<MembersSecond>,
     memory_most: u64,
     /// The longest that a look at the sockets took.
     look_most: Duration,
@@ -102,22 +120,36 @@
 }
 
 impl Sampler {
-    /// Starts to look; the addresses are those at which control members serve subscribers.
-    pub fn start(control_peers: impl IntoIterator<Item = String>) -> Self {
-        let state = State { control_peers: control_peers.into_iter().collect(), ..State::default() };
+    /// Starts to look at a fleet with these control members.
+    pub fn start(control: &ControlFleet) -> Self {
+        let control_peers = control.places().iter().map(|place| place.address.to_string()).collect();
+        let state = State { control_peers, addresses: Addresses::of(control), ..State::default() };
         let (state, stop) = (Arc::new(Mutex::new(state)), CancellationToken::new());
         let task = tokio::spawn(run(Arc::clone(&state), stop.clone()));
         Self { state, stop, task }
     }
 
+    /// Control members are reached at these addresses as well.
+    pub fn control_at(&self, addresses: impl IntoIterator<Item = String>) {
+        lock(&self.state).control_peers.extend(addresses);
+    }
+
     /// Looks at a process from now on.
     pub fn watch(&self, pid: u32, role: Role, members: usize) {
         lock(&self.state).watched.insert(pid, Watched { role, members });
     }
 
+    /// Looks at a control member from now on.
+    pub fn watch_member(&self, pid: u32, member: Member) {
+        self.watch(pid, Role::Control, 1);
+        lock(&self.state).members.insert(pid, member);
+    }
+
     /// Looks at a process no more.
     pub fn forget(&self, pid: u32) {
-        lock(&self.state).watched.remove(&pid);
+        let mut state = lock(&self.state);
+        state.watched.remove(&pid);
+        state.members.remove(&pid);
     }
 
     /// Who leads the council from now on.
@@ -140,9 +172,13 @@
         lock(&self.state).look_most
     }
 
-    /// What each role used since the last call.
-    pub fn take(&self) -> BTreeMap<Role, RoleUsage> {
-        usage_by_role(&std::mem::take(&mut lock(&self.state).seconds))
+    /// What was used since the last call.
+    pub fn take(&self) -> Used {
+        let mut state = lock(&self.state);
+        let (seconds, members) =
+            (std::mem::take(&mut state.seconds), std::mem::take(&mut state.member_seconds));
+        drop(state);
+        Used { roles: usage_by_role(&seconds), members: usage_by_member(&members) }
     }
 
     /// Ends it.
@@ -176,6 +212,8 @@
         if let (Some(then), Some(at)) = (before.at, counts.at) {
             state.look_most = state.look_most.max(at.elapsed());
             let second = spans(&state, &before, &counts, at.duration_since(then).as_secs_f64());
+            let members = member_spans(&state, &second, &before.look, &counts.look);
+            state.member_seconds.push(members);
             state.seconds.push(second);
         }
         drop(state);
@@ -211,6 +249,17 @@
     second
 }
 
+/// The part of a second that is control members', with whom they exchanged what.
+fn member_spans(state: &State, second: &Second, before: &Look, now: &Look) -> MembersSecond {
+    let mut passed = state.addresses.passed(now, before, &state.members);
+    let member = |(pid, (watched, span)): (&u32, &(Watched, Span))| {
+        let standing = Standing { leads: watched.role == Role::Leader, member: *state.members.get(pid)? };
+        let passed = passed.remove(pid).unwrap_or_default();
+        Some((standing, MemberSecond { seconds: span.seconds, cpu_s: span.cpu_s, passed }))
+    };
+    second.iter().filter_map(member).collect()
+}
+
 /// Sums seconds up by role. Figures of a process are shared by its members.
 fn usage_by_role(seconds: &[Second]) -> BTreeMap<Role, RoleUsage> {
     let mut sums: BTreeMap<Role, Sum> = BTreeMap::new();
--- a/crates/stepspur-scale/src/fleet/measure/tests.rs
+++ b/crates/stepspur-scale/src/fleet/measure/tests.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::{Role, Second, Span, Watched, usage_by_role};
-use crate::fleet::sockets::{HEADER_BYTES, Traffic};
+use crate::fleet::sockets::Traffic;
+use crate::traffic::HEADER_BYTES;
 
 fn span(cpu_s: f64, bytes: u64) -> Span {
     let traffic = Traffic { read: bytes, written: 0, messages: 1, segments: 2 };
--- a/crates/stepspur-scale/src/fleet/mod.rs
+++ b/crates/stepspur-scale/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! others hollow; changes are proposed at the operators' endpoint, and a judge holds what was recorded against what was
 //! agreed. docs/scale-run.md tells how it is run and read.
 
+mod asking;
 mod changes;
 pub mod cluster;
 mod faults;
@@ -9,16 +10,22 @@
 mod judge;
 pub mod latency;
 mod measure;
+pub mod members;
 pub mod operators;
+mod orders;
+pub mod peers;
 pub mod plan;
 pub mod processes;
 mod proxies;
+mod real;
 mod record;
+mod relay;
 pub mod report;
 mod run;
 pub mod servers;
 pub mod settings;
 mod sockets;
+mod swap;
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -29,6 +36,7 @@
 use tokio::time::timeout;
 
 use cluster::Cluster;
+use faults::FaultKind;
 use plan::Sizes;
 use report::{BURST, Fleet, Growth, MEAN, Machine, Report, growth};
 use run::Run;
@@ -71,12 +79,23 @@
     /// A subscriber that nothing concerns is told so often what it is covered to, milliseconds.
     #[arg(long, default_value_t = 5_000)]
     keep_alive_ms: u64,
+    /// Operators ask so often where a version is in force, milliseconds: it is work for the leader, too.
+    #[arg(long, default_value_t = millis(asking::ASK_EVERY))]
+    ask_every_ms: u64,
     /// Where draws start.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Kill control members and the leader, cut a region off, take all control away, restart a tenth.
-    #[arg(long)]
-    faults: bool,
+    /// Kill a control member and the leader, cut a region off, take all control away, restart a tenth of the conductors;
+    /// or some of these alone.
+    #[arg(
+        long,
+        value_enum,
+        num_args = 0..,
+        require_equals = true,
+        value_delimiter = ',',
+        default_missing_values = ["member", "leader", "region", "control", "restart"]
+    )]
+    faults: Vec<FaultKind>,
     /// Seconds for which a region is cut off, and for which all control is away.
     #[arg(long, default_value_t = faults::OUTAGE.as_secs())]
     outage_s: u64,
@@ -97,6 +116,10 @@
     keep: Option<PathBuf>,
 }
 
+const fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
+
 /// The result of one run or a sweep.
 #[derive(Debug, Serialize, Deserialize)]
 struct Outcome {
@@ -123,7 +146,9 @@
         }
     }
     for Growth { what, points, exponent } in growth(&runs) {
-        println!("{what}: {points:?}, exponent {exponent:?}");
+        if let Some(exponent) = exponent {
+            println!("{what}: {points:?}, exponent {exponent:.3}");
+        }
     }
     let objected = runs.iter().filter(|run| !run.verdict.clean()).count();
     anyhow::ensure!(objected == 0, "the judge objects to {objected} of {} runs", runs.len());
@@ -157,9 +182,14 @@
         controls: args.controls,
     };
     let program = processes::program(args.program.clone())?;
-    let cluster =
-        Cluster::start(program, folder, args.seed, sizes, Duration::from_millis(args.keep_alive_ms)).await?;
-    let mut run = Run::new(cluster, args.seed)?;
+    let keep_alive = Duration::from_millis(args.keep_alive_ms);
+    let mut cluster = Cluster::start(program, folder, args.seed, sizes, keep_alive).await?;
+    if args.faults.contains(&FaultKind::Region)
+        && let Some(region) = cluster.plan.region_to_cut().map(str::to_owned)
+    {
+        cluster.relay_links_of(&region).await?;
+    }
+    let mut run = Run::new(cluster, args.seed, Duration::from_millis(args.ask_every_ms))?;
     let documents = run.preload().await?;
     println!("{documents} documents stand, as of {}", run.head);
     let start = run.full_start().await?;
@@ -178,9 +208,7 @@
         run.changes(changes, args.burst_pace).await?;
         run.end(burst, None).await?;
     }
-    if args.faults {
-        run.faults(Duration::from_secs(args.outage_s)).await?;
-    }
+    run.faults(&args.faults, Duration::from_secs(args.outage_s)).await?;
     let swap = if args.swap { Some(run.swap(SWAPPED, SWAP_CHANGES).await?) } else { None };
     let memory = run.cluster.sampler.memory_most();
     anyhow::ensure!(
@@ -204,6 +232,7 @@
             processes,
         },
         machine,
+        ask_every_ms: args.ask_every_ms,
         mean_pace_per_s: args.pace,
         burst_pace_per_s: args.burst_pace,
         start,
--- a/crates/stepspur-scale/src/fleet/plan.rs
+++ b/crates/stepspur-scale/src/fleet/plan.rs
@@ -12,16 +12,17 @@
 use stepspur_distribution::document::{Interest, ServiceInterest};
 
 use super::history::SubscriberId;
+use crate::capacity::target::USERS;
 
 /// Conductors of the users' fleet; the other figures belong to so many.
-pub const FULL_CONDUCTORS: usize = 2_400;
-const FULL_SERVERS: usize = 19_000;
-const FULL_SERVICES: usize = 930;
-const FULL_TENANTS: usize = 99_000;
-const REGIONS: usize = 22;
+pub const FULL_CONDUCTORS: usize = USERS.conductors as usize;
+const FULL_SERVERS: usize = USERS.servers as usize;
+const FULL_SERVICES: usize = USERS.services as usize;
+const FULL_TENANTS: usize = USERS.tenants as usize;
+const REGIONS: usize = USERS.regions as usize;
 /// Routes of a service: 11,000 over 930 services are 11.8 on the mean. A conductor knows 16 classes at most.
 const ROUTES_LEAST: usize = 8;
-const ROUTES_MOST: usize = 16;
+pub const ROUTES_MOST: usize = 16;
 /// Tenants of one service at most: conductors of two services stay below what a subscriber may name.
 const TENANTS_OF_SERVICE_MOST: usize = 2_000;
 /// Conductors in so many stand before a second service.
@@ -145,14 +146,21 @@
         self.services.iter().map(|service| service.servers.len()).sum()
     }
 
-    /// The region with the most conductors of those without a real one: a run can cut its links.
-    pub fn region_without_real(&self) -> Option<&str> {
+    /// The region whose links a run cuts: the one with the most hollow conductors of those with a real one beside them,
+    /// or of all, if none has both.
+    pub fn region_to_cut(&self) -> Option<&str> {
         let count = |conductors: &[Conductor], region: &String| {
             conductors.iter().filter(|conductor| conductor.interest.region == *region).count()
         };
-        let hollow = self.regions.iter().filter(|region| count(self.real(), region) == 0);
-        let largest = hollow.max_by_key(|region| count(self.hollow(), region))?;
-        (count(self.hollow(), largest) > 0).then_some(largest.as_str())
+        let rank = |region: &&String| (count(self.real(), region) > 0, count(self.hollow(), region));
+        let cut = self.regions.iter().filter(|region| count(self.hollow(), region) > 0).max_by_key(rank)?;
+        Some(cut.as_str())
+    }
+
+    /// Places of the real conductors of a region.
+    pub fn real_of(&self, region: &str) -> Vec<usize> {
+        let own = self.real().iter().enumerate().filter(|(_, conductor)| conductor.interest.region == region);
+        own.map(|(place, _)| place).collect()
     }
 }
 
--- a/crates/stepspur-scale/src/fleet/plan/tests.rs
+++ b/crates/stepspur-scale/src/fleet/plan/tests.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use super::{FULL_CONDUCTORS, Plan, ROUTES_MOST, Sizes, VOTERS};
+use super::{Conductor, FULL_CONDUCTORS, Plan, ROUTES_MOST, Sizes, VOTERS};
 
 const FULL: Sizes = Sizes { conductors: FULL_CONDUCTORS, real: 24, servers: None, controls: 15 };
 
@@ -39,8 +39,14 @@
         seen.extend(conductor.services.iter().copied());
     }
     assert_eq!(seen.len(), plan.services.len());
-    let cut = plan.region_without_real().expect("a region without a real conductor");
-    assert!(plan.real().iter().all(|conductor| conductor.interest.region != cut));
+    let cut = plan.region_to_cut().expect("a region");
+    let own = |conductors: &[Conductor]| {
+        conductors.iter().filter(|conductor| conductor.interest.region == cut).count()
+    };
+    assert!(own(plan.real()) >= 2 && own(plan.hollow()) > 50, "real conductors beside many hollow ones");
+    assert_eq!(plan.real_of(cut).len(), own(plan.real()));
+    assert!(plan.real_of(cut).iter().all(|place| plan.conductors[*place].interest.region == cut));
+    assert!(own(plan.real()) < plan.real, "others go on");
 }
 
 #[test]
@@ -55,5 +61,8 @@
     let plan = draw(1, Sizes { conductors: 22, real: 2, servers: None, controls: 3 });
     assert_eq!((plan.real().len(), plan.hollow().len(), plan.control.len()), (2, 20, 3));
     assert!(plan.services.len() >= 4 && plan.regions.len() >= 2);
-    assert!(plan.region_without_real().is_some());
+    let cut = plan.region_to_cut().expect("a region");
+    assert_eq!(plan.real_of(cut).len(), 1, "one real conductor is cut off, one is not");
+    let hollow = draw(1, Sizes { conductors: 22, real: 0, servers: None, controls: 3 });
+    assert!(hollow.region_to_cut().is_some_and(|cut| hollow.real_of(cut).is_empty()));
 }
--- a/crates/stepspur-scale/src/fleet/proxies.rs
+++ b/crates/stepspur-scale/src/fleet/proxies.rs
@@ -6,22 +6,24 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anyhow::bail;
 use futures_util::{SinkExt, StreamExt};
-use stepspur_distribution::document::{Change, Setting, Target};
+use stepspur_distribution::document::{Change, Target};
 use stepspur_proto::{
     Frames, FromConductor, FromProxy, LARGEST_FRAME, VERSION, address_of, from_conductor, from_proxy, v1,
 };
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{interval, sleep, timeout};
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::history::{Micros, SubscriberId, now};
+use super::orders::{Order, Ordered, ProxyOrders};
 use super::settings::{PROXIES, ZONES};
 
 /// A proxy whose stream ended dials again after this.
@@ -32,64 +34,49 @@
 const PING_EVERY: Duration = Duration::from_secs(5);
 /// No conductor is pinged more often, in microseconds.
 const KEEP_ALIVE_LEAST_US: u64 = 100_000;
-/// Shares come as 32-bit floats.
-const SHARE_ROUNDING_PPM: f64 = 1.0;
-
-/// What a proxy was ordered, as far as documents can order it.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Ordered {
-    /// A share of a class is let in, in millionths.
-    Level {
-        /// The class.
-        class: String,
-        /// The share.
-        ppm: f64,
-    },
-    /// No requests may go to a server any more.
-    Held(SocketAddr),
-    /// Requests may go to it again.
-    Released(SocketAddr),
-}
 
-impl Ordered {
-    /// True: the order does what the change says.
-    fn does(&self, change: &Change) -> bool {
-        match (self, &change.target, change.setting) {
-            (Self::Level { class, ppm }, Target::Class(wanted), Some(Setting::LevelPpm(level))) => {
-                class == wanted && (ppm - f64::from(level)).abs() <= SHARE_ROUNDING_PPM
-            }
-            (Self::Held(server), Target::Server(wanted), Some(_)) => server == wanted,
-            (Self::Released(server), Target::Server(wanted), None) => server == wanted,
-            _ => false,
-        }
-    }
-}
+/// What one proxy was ordered so far.
+type Log = Arc<Mutex<Vec<Order>>>;
 
-/// What one proxy was ordered when.
-type Log = Arc<Mutex<Vec<(Micros, Ordered)>>>;
+fn lock(log: &Log) -> MutexGuard<'_, Vec<Order>> {
+    log.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 /// The proxies of all real conductors.
 #[derive(Debug)]
 pub struct Proxies {
-    logs: BTreeMap<SubscriberId, Vec<Log>>,
+    conductors: BTreeMap<SubscriberId, OfConductor>,
     stop: CancellationToken,
     tasks: TaskTracker,
 }
 
+/// The proxies of one real conductor.
+#[derive(Debug)]
+struct OfConductor {
+    logs: Vec<Log>,
+    /// Where it listens, while it runs.
+    address: watch::Sender<Option<SocketAddr>>,
+}
+
 impl Proxies {
     /// None yet.
     pub fn new() -> Self {
-        Self { logs: BTreeMap::new(), stop: CancellationToken::new(), tasks: TaskTracker::new() }
+        Self { conductors: BTreeMap::new(), stop: CancellationToken::new(), tasks: TaskTracker::new() }
     }
 
-    /// Has proxies join a real conductor.
+    /// Has proxies join a real conductor. Those of one that was started again go to its new address.
     pub fn join(&mut self, conductor: SubscriberId, address: SocketAddr) {
-        let logs = self.logs.entry(conductor).or_default();
+        if let Some(known) = self.conductors.get(&conductor) {
+            known.address.send_replace(Some(address));
+            return;
+        }
+        let mut logs = Vec::new();
+        let known = watch::Sender::new(Some(address));
         for place in 0..PROXIES {
             let log = Log::default();
             logs.push(Arc::clone(&log));
             let name = format!("proxy-{}-{place}", conductor.0);
-            let keep = keep(address, name, ZONES[place % ZONES.len()], log);
+            let keep = keep(known.subscribe(), name, ZONES[place % ZONES.len()], log);
             let stop = self.stop.clone();
             self.tasks.spawn(async move {
                 tokio::select! {
@@ -98,16 +85,24 @@
                 }
             });
         }
+        self.conductors.insert(conductor, OfConductor { logs, address: known });
+    }
+
+    /// A conductor is about to end: its address is not dialled any more, as it may be another's soon.
+    pub fn forget_address(&self, conductor: SubscriberId) {
+        if let Some(known) = self.conductors.get(&conductor) {
+            known.address.send_replace(None);
+        }
     }
 
     /// When the last proxy of a conductor was ordered what a change says, after this time; none: not all of those that
     /// must be. A level must reach each proxy; a server stands in the tables of some.
     pub fn ordered(&self, conductor: SubscriberId, change: &Change, after: Micros) -> Option<Micros> {
-        let logs = self.logs.get(&conductor)?;
+        let logs = &self.conductors.get(&conductor)?.logs;
         let first = |log: &Log| {
-            let log = log.lock().unwrap_or_else(PoisonError::into_inner);
-            let start = log.partition_point(|(at, _)| *at < after);
-            log[start..].iter().find(|(_, ordered)| ordered.does(change)).map(|(at, _)| *at)
+            let log = lock(log);
+            let start = log.partition_point(|order| order.at < after);
+            log[start..].iter().find(|order| order.ordered.does(change)).map(|order| order.at)
         };
         let times: Vec<Option<Micros>> = logs.iter().map(first).collect();
         let all = matches!(change.target, Target::Class(_));
@@ -117,6 +112,15 @@
         times.into_iter().flatten().max()
     }
 
+    /// All orders so far.
+    pub fn orders(&self) -> Vec<ProxyOrders> {
+        let of = |(&conductor, proxies): (&SubscriberId, &OfConductor)| {
+            let orders = |log: &Log| ProxyOrders { conductor, orders: lock(log).clone() };
+            proxies.logs.iter().map(orders).collect::<Vec<_>>()
+        };
+        self.conductors.iter().flat_map(of).collect()
+    }
+
     /// Ends them all.
     pub async fn stop(self) {
         self.stop.cancel();
@@ -125,16 +129,28 @@
     }
 }
 
-/// Keeps a stream to a conductor, for as long as it is polled.
-async fn keep(address: SocketAddr, name: String, zone: &'static str, log: Log) {
+/// Keeps a stream to a conductor wherever it listens, for as long as it is polled.
+async fn keep(mut address: watch::Receiver<Option<SocketAddr>>, name: String, zone: &'static str, log: Log) {
     loop {
-        if let Err(error) = stream(address, &name, zone, &log).await {
+        let Ok(known) = address.wait_for(Option::is_some).await.map(|known| *known) else { return };
+        let Some(at) = known else { continue };
+        if let Err(error) = stream(at, &name, zone, &log).await {
             tracing::debug!(event = "proxy_stream_ended", name, %error);
         }
+        note_end(&log);
         sleep(REDIAL).await;
     }
 }
 
+/// Notes that the stream has ended; of attempts that end before an order nothing is noted.
+fn note_end(log: &Log) {
+    let at = now();
+    let mut log = lock(log);
+    if log.last().is_some_and(|order| order.ordered != Ordered::Nothing) {
+        log.push(Order { at, ordered: Ordered::Nothing });
+    }
+}
+
 async fn stream(address: SocketAddr, name: &str, zone: &str, log: &Log) -> anyhow::Result<()> {
     let socket = TcpStream::connect(address).await?;
     socket.set_nodelay(true)?;
@@ -188,8 +204,7 @@
 /// Notes what was ordered just now.
 fn note(log: &Log, ordered: Vec<Ordered>) {
     let at = now();
-    let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
-    log.extend(ordered.into_iter().map(|ordered| (at, ordered)));
+    lock(log).extend(ordered.into_iter().map(|ordered| Order { at, ordered }));
 }
 
 /// What a proxy holds.
--- a/crates/stepspur-scale/src/fleet/proxies/tests.rs
+++ b/crates/stepspur-scale/src/fleet/proxies/tests.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use stepspur_distribution::document::{Change, Scope, Setting, Target};
 use stepspur_proto::{Frames, FromConductor, FromProxy, LARGEST_FRAME, from_conductor, from_proxy, v1};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
@@ -43,20 +42,6 @@
     assert_eq!(capped, [Ordered::Level { class: "write".into(), ppm: 250_000.0 }]);
 }
 
-#[test]
-fn an_order_is_held_against_the_change_it_must_do() {
-    let change = |target, setting| Change { scope: Scope::default(), target, setting };
-    let level = change(Target::Class("write".into()), Some(Setting::LevelPpm(333_333)));
-    let share = f64::from(333_333.0_f32 / 1e6) * 1e6;
-    assert!(Ordered::Level { class: "write".into(), ppm: share }.does(&level));
-    assert!(!Ordered::Level { class: "write".into(), ppm: 333_335.0 }.does(&level));
-    assert!(!Ordered::Level { class: "read".into(), ppm: share }.does(&level));
-    let (held, lifted) =
-        (change(Target::Server(server(1)), Some(Setting::Draining)), change(Target::Server(server(1)), None));
-    assert!(Ordered::Held(server(1)).does(&held) && !Ordered::Held(server(1)).does(&lifted));
-    assert!(Ordered::Released(server(1)).does(&lifted) && !Ordered::Released(server(2)).does(&lifted));
-}
-
 /// In the first run at full size conductors cut all proxies off every 15 s: they had said nothing.
 #[tokio::test]
 async fn a_proxy_with_nothing_to_say_pings_as_often_as_its_conductor_asks() {
--- a/crates/stepspur-scale/src/fleet/record.rs
+++ b/crates/stepspur-scale/src/fleet/record.rs
@@ -7,9 +7,10 @@
 use tokio::sync::watch;
 
 use super::history::{
-    Acknowledged, Agreed, Answered, Applied, Cut, History, Holding, Micros, Participant, Restarted,
+    Acknowledged, Agreed, Answered, Applied, Cut, Down, History, Holding, Micros, Participant, Restarted,
     SubscriberId,
 };
+use super::orders::ProxyOrders;
 use crate::hollow_conductors::message::{Bytes, Event};
 
 /// Records a run.
@@ -84,6 +85,21 @@
         self.state().history.participants.extend(participants);
     }
 
+    /// Real conductors that take part.
+    pub fn participate_real(&self, participants: Vec<Participant>) {
+        self.state().history.real.extend(participants);
+    }
+
+    /// Takes all that proxies were ordered so far, in place of what was taken before.
+    pub fn take_orders(&self, orders: Vec<ProxyOrders>) {
+        self.state().history.proxies = orders;
+    }
+
+    /// Notes that a real conductor was ended and started again.
+    pub fn down(&self, down: Down) {
+        self.state().history.down.push(down);
+    }
+
     /// Notes changes that were agreed.
     pub fn agreed(&self, agreed: Agreed) {
         self.state().history.agreed.push(agreed);
--- a/crates/stepspur-scale/src/fleet/report.rs
+++ b/crates/stepspur-scale/src/fleet/report.rs
@@ -11,13 +11,18 @@
 use super::judge::Verdict;
 use super::latency::{Spread, Travel};
 use super::measure::{Role, RoleUsage};
+use super::members::{Group, MemberUsage, PeerUsage};
+use super::peers::PeerKind;
+use crate::capacity::target::USERS;
+use crate::fit::exponent;
 
 /// What the users allow a subscriber for control, in bytes a second.
-pub const SUBSCRIBER_BYTES_PER_S: f64 = 7_000.0;
+pub const SUBSCRIBER_BYTES_PER_S: f64 = USERS.bytes_per_s;
 /// In hundredths of a core.
-pub const SUBSCRIBER_CPU_PERCENT: f64 = 4.4;
+pub const SUBSCRIBER_CPU_PERCENT: f64 = USERS.cpu_percent;
 /// In MB.
-pub const SUBSCRIBER_MB: f64 = 256.0;
+pub const SUBSCRIBER_MB: f64 = USERS.memory_mib * BYTES_OF_MIB / 1e6;
+const BYTES_OF_MIB: f64 = (1 << 20) as f64;
 /// A change is in force everywhere within this, in every case.
 pub const IN_FORCE_MS: f64 = 5_000.0;
 /// The same at the mean pace.
@@ -95,10 +100,14 @@
     pub travel: Travel,
     /// What each role used.
     pub usage: BTreeMap<Role, RoleUsage>,
+    /// What each control member used, and with whom, leaders first.
+    pub members: Vec<MemberUsage>,
     /// Hollow conductors that were attached at its end.
     pub connected: usize,
     /// After a fault or its end: until all hollow conductors had what was agreed by then; 0: they had it already.
     pub level_ms: Option<f64>,
+    /// The same until the proxies of all real conductors were ordered it; none: no fault, or some never were.
+    pub level_real_ms: Option<f64>,
     /// What happened, in words.
     pub notes: Vec<String>,
 }
@@ -152,6 +161,8 @@
     pub machine: Machine,
     /// How large it was.
     pub fleet: Fleet,
+    /// Operators asked so often where a version is in force, in milliseconds.
+    pub ask_every_ms: u64,
     /// Changes a second in the phase `mean`.
     pub mean_pace_per_s: f64,
     /// Changes a second in the phase `burst`.
@@ -232,18 +243,6 @@
     }
 }
 
-/// The exponent of growth: the slope of the best line through the logarithms; none with fewer than two sizes.
-pub fn exponent(points: &[(f64, f64)]) -> Option<f64> {
-    let logs: Vec<(f64, f64)> =
-        points.iter().filter(|(x, y)| *x > 0.0 && *y > 0.0).map(|(x, y)| (x.ln(), y.ln())).collect();
-    let count = logs.len() as f64;
-    let mean = |of: fn(&(f64, f64)) -> f64| logs.iter().map(of).sum::<f64>() / count;
-    let (mean_x, mean_y) = (mean(|point| point.0), mean(|point| point.1));
-    let above: f64 = logs.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
-    let below: f64 = logs.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
-    (logs.len() >= 2 && below > 0.0).then(|| above / below)
-}
-
 /// How a figure grows with conductors over the runs of a sweep.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Growth {
@@ -255,26 +254,40 @@
     pub exponent: Option<f64>,
 }
 
-/// How figures of the phase at the mean pace grow with conductors.
+/// How figures of the phase at the mean pace grow with conductors; of the leader also by whom it exchanges bytes with.
 pub fn growth(reports: &[Report]) -> Vec<Growth> {
-    let of = |what: &str, role: Role, figure: fn(&RoleUsage) -> f64| {
+    let of = |what: String, figure: &dyn Fn(&Phase) -> Option<f64>| {
         let point = |report: &Report| {
             let mean = report.phases.iter().find(|phase| phase.name == MEAN)?;
-            Some((report.fleet.conductors as f64, figure(mean.usage.get(&role)?)))
+            Some((report.fleet.conductors as f64, figure(mean)?))
         };
         let points: Vec<(f64, f64)> = reports.iter().filter_map(point).collect();
-        Growth { what: what.to_owned(), exponent: exponent(&points), points }
+        Growth { what, exponent: exponent(&points), points }
     };
-    let cpu = |usage: &RoleUsage| usage.cpu_percent;
-    let bytes = |usage: &RoleUsage| usage.bytes_per_s_with_headers;
-    vec![
-        of("leader: percent of a core", Role::Leader, cpu),
-        of("leader: bytes a second", Role::Leader, bytes),
-        of("control member: percent of a core", Role::Control, cpu),
-        of("control member: bytes a second", Role::Control, bytes),
-        of("hollow conductor: percent of a core", Role::HollowConductor, cpu),
-        of("hollow conductor: bytes a second", Role::HollowConductor, bytes),
-    ]
+    let mut growth = Vec::new();
+    for (name, role) in [
+        ("leader", Role::Leader),
+        ("control member", Role::Control),
+        ("hollow conductor", Role::HollowConductor),
+    ] {
+        growth.push(of(format!("{name}: percent of a core"), &|phase| {
+            phase.usage.get(&role).map(|usage| usage.cpu_percent)
+        }));
+        growth.push(of(format!("{name}: bytes a second"), &|phase| {
+            phase.usage.get(&role).map(|usage| usage.bytes_per_s_with_headers)
+        }));
+    }
+    for kind in PeerKind::ALL {
+        let leader = |phase: &Phase| Group::Leader.mean(&phase.members, kind);
+        growth.push(of(format!("leader: bytes a second with {}", kind.label()), &|phase| {
+            leader(phase).map(|usage| usage.bytes_per_s_with_headers)
+        }));
+        growth.push(of(format!("leader: segments a second with {}", kind.label()), &|phase| {
+            leader(phase).map(|usage| usage.segments_per_s)
+        }));
+    }
+    growth.retain(|growth| !growth.points.is_empty());
+    growth
 }
 
 fn spread(f: &mut fmt::Formatter<'_>, what: &str, spread: &Spread) -> fmt::Result {
@@ -302,7 +315,11 @@
             "  later than 5 s {late}, never at some conductor {missing}, never at some proxy {missing_at_proxies}"
         )?;
         if let Some(level) = self.level_ms {
-            writeln!(f, "  all level again after {level:.0} ms")?;
+            writeln!(
+                f,
+                "  all hollow level again after {level:.0} ms, real at their proxies after {:.0?} ms",
+                self.level_real_ms
+            )?;
         }
         self.notes.iter().try_for_each(|note| writeln!(f, "  {note}"))?;
         if !self.usage.is_empty() {
@@ -327,14 +344,47 @@
                 usage.messages_per_s,
             )?;
         }
-        Ok(())
+        peers(f, &self.members)
+    }
+}
+
+/// With whom control members exchange what.
+fn peers(f: &mut fmt::Formatter<'_>, members: &[MemberUsage]) -> fmt::Result {
+    if members.is_empty() {
+        return Ok(());
+    }
+    writeln!(
+        f,
+        "  {:<14} {:<18} {:>7} {:>9} {:>9} {:>10} {:>8}",
+        "control", "with", "links", "B/s", "+headers", "segments/s", "msg/s"
+    )?;
+    for group in Group::ALL {
+        for kind in PeerKind::ALL {
+            let Some(usage) = group.mean(members, kind) else { continue };
+            let PeerUsage {
+                connections,
+                bytes_per_s,
+                bytes_per_s_with_headers,
+                segments_per_s,
+                messages_per_s,
+            } = usage;
+            writeln!(
+                f,
+                "  {:<14} {:<18} {connections:>7.1} {bytes_per_s:>9.0} {bytes_per_s_with_headers:>9.0} \
+                 {segments_per_s:>10.1} {messages_per_s:>8.1}",
+                group.label(),
+                kind.label()
+            )?;
+        }
     }
+    Ok(())
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Machine { cores, memory_mb, load_before } = self.machine;
         writeln!(f, "seed {}, {cores} cores, {memory_mb} MB, load before {load_before:.2}", self.seed)?;
+        writeln!(f, "operators ask each {} ms", self.ask_every_ms)?;
         let fleet = self.fleet;
         writeln!(
             f,
--- a/crates/stepspur-scale/src/fleet/report/tests.rs
+++ b/crates/stepspur-scale/src/fleet/report/tests.rs
@@ -5,7 +5,9 @@
 use super::super::judge::Verdict;
 use super::super::latency::{Spread, Travel};
 use super::super::measure::{Role, RoleUsage};
-use super::{Fleet, FullStart, MEAN, Machine, Phase, Report, Swap, exponent, growth};
+use super::super::members::{MemberUsage, PeerUsage};
+use super::super::peers::PeerKind;
+use super::{Fleet, FullStart, MEAN, Machine, Phase, Report, Swap, growth};
 
 fn report(conductors: usize, most_ms: f64, leader_cpu: f64) -> Report {
     let in_force = Spread { count: 200, p50_ms: 10.0, p99_ms: 50.0, most_ms };
@@ -20,6 +22,7 @@
         seed: 1,
         machine: Machine::default(),
         fleet: Fleet { conductors, ..Fleet::default() },
+        ask_every_ms: 200,
         mean_pace_per_s: 1.0,
         burst_pace_per_s: 10.0,
         start: FullStart { hollow_ms: 29_999.0, real_ms: 30_000.0, ..FullStart::default() },
@@ -45,16 +48,28 @@
 }
 
 #[test]
-fn exponents_are_slopes_of_logarithms() {
-    let square: Vec<(f64, f64)> = [150.0, 300.0, 2_400.0].iter().map(|x| (*x, x * x)).collect();
-    assert!((exponent(&square).unwrap() - 2.0).abs() < 1e-9);
-    let flat = [(150.0, 3.0), (2_400.0, 3.0)];
-    assert!(exponent(&flat).unwrap().abs() < 1e-9);
-    assert_eq!(exponent(&flat[..1]), None);
-    // A figure of nothing has no logarithm.
-    assert_eq!(exponent(&[(150.0, 0.0), (300.0, 1.0)]), None);
-    let grown = growth(&[report(150, 1.0, 2.0), report(300, 1.0, 4.0)]);
-    assert!((grown[0].exponent.unwrap() - 1.0).abs() < 1e-9, "{:?}", grown[0]);
+fn growth_tells_the_exponent_of_each_figure_and_of_the_leader_by_its_peers() {
+    let mut runs = [report(150, 1.0, 2.0), report(300, 1.0, 4.0)];
+    for (run, bytes) in runs.iter_mut().zip([100.0, 400.0]) {
+        let usage =
+            PeerUsage { bytes_per_s_with_headers: bytes, segments_per_s: 5.0, ..PeerUsage::default() };
+        let peers = BTreeMap::from([(PeerKind::Subscribers, usage)]);
+        let leader = MemberUsage { member: 1, votes: true, leads: true, peers, ..MemberUsage::default() };
+        run.phases[0].members = vec![leader];
+    }
+    let grown = growth(&runs);
+    let exponent = |what: &str| {
+        let found = grown.iter().find(|grown| grown.what == what);
+        found.unwrap_or_else(|| panic!("no {what}: {grown:?}")).exponent.unwrap()
+    };
+    assert!((exponent("leader: percent of a core") - 1.0).abs() < 1e-9);
+    assert!((exponent("leader: bytes a second with subscribers") - 2.0).abs() < 1e-9);
+    assert!(exponent("leader: segments a second with subscribers").abs() < 1e-9);
+    assert!(grown.iter().all(|grown| !grown.what.contains("operators")), "of nothing nothing is told");
+    let text = runs[0].to_string();
+    let told =
+        |line: &str| line.split_whitespace().eq(["leader", "subscribers", "0.0", "0", "100", "5.0", "0.0"]);
+    assert!(text.lines().any(told), "{text}");
 }
 
 #[test]
--- a/crates/stepspur-scale/src/fleet/run.rs
+++ b/crates/stepspur-scale/src/fleet/run.rs
@@ -1,6 +1,5 @@
 //! The phases of a run: a full start, changes at the mean pace, the burst, and what each needs of the fleet.
 
-use std::collections::VecDeque;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,18 +9,17 @@
 use rand_chacha::ChaCha8Rng;
 use stepspur_distribution::document::Change;
 use stepspur_distribution::version::Version;
-use tokio::sync::{mpsc, watch};
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
-use tokio_util::sync::CancellationToken;
 
+use super::asking::Asking;
 use super::changes::{Schedule, proposals};
 use super::cluster::Cluster;
-use super::history::{Agreed, Answered, History, Micros, Participant, SubscriberId, now};
-use super::latency::{Applications, Travel, level, travel};
+use super::history::{Agreed, History, Micros, Participant, SubscriberId, now};
+use super::judge::{LetGo, let_go_after_restart, real_level};
+use super::latency::{Applications, Travel, cut_off, level, travel};
 use super::operators::{Operations, Operator, Proposed};
-use super::record::Recorder;
-use super::report::{FullStart, Phase, Swap};
+use super::plan::Conductor;
+use super::report::{FullStart, Phase};
 
 /// Changes of one proposal of the documents that stand before the start.
 const PRELOAD_CHANGES: usize = 64;
@@ -30,17 +28,9 @@
 /// After a call that failed, the next control member is called.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 /// All conductors are level within this, or the phase says that they are not.
-const LEVEL_TIMEOUT: Duration = Duration::from_secs(60);
+pub const LEVEL_TIMEOUT: Duration = Duration::from_secs(60);
 /// A full start takes so long at most before the run gives up.
 const START_TIMEOUT: Duration = Duration::from_secs(180);
-/// Operators ask where a version is in force this often: it is work for the leader, too.
-const ASK_EVERY: Duration = Duration::from_millis(200);
-/// After a member that cannot tell, as it does not lead, the next one is asked.
-const ASK_NEXT_AFTER: Duration = Duration::from_millis(10);
-/// Versions that are asked for in turn at most; while there are so many, further ones are not asked for.
-const ASKED_MOST: usize = 4;
-/// A version that is not in force everywhere by then is asked for no more.
-const ASKED_FOR: Duration = Duration::from_secs(10);
 /// At the end of changes the last version is asked for so long at most.
 const LAST_ASKED_FOR: Duration = Duration::from_secs(5);
 /// Changes that proxies were never ordered and that are named, at most.
@@ -62,14 +52,28 @@
     pub subscribers: Vec<SubscriberId>,
     /// The last version that was agreed.
     pub head: Version,
+    /// Operators ask this often where a version is in force.
+    ask_every: Duration,
     retries: usize,
     phases: Vec<Phase>,
 }
 
+/// What a change is drawn for.
+#[derive(Clone, Copy, Debug)]
+pub enum Draw {
+    /// Whatever comes next.
+    Any,
+    /// The service of the conductor with this place in the plan.
+    For(usize),
+    /// The same, so that a server of it is held.
+    Hold(usize),
+}
+
 /// A phase that began, and where the history stood then.
 pub struct Begun {
     name: String,
     at: Instant,
+    since: Micros,
     changes: usize,
     retries: usize,
     /// What happened in it.
@@ -81,7 +85,7 @@
     ///
     /// # Errors
     /// Keys that make no client.
-    pub fn new(cluster: Cluster, seed: u64) -> anyhow::Result<Self> {
+    pub fn new(cluster: Cluster, seed: u64, ask_every: Duration) -> anyhow::Result<Self> {
         let operator = cluster.operator()?;
         let schedule = Schedule::new(Arc::clone(&cluster.plan), seed);
         let subscribers = cluster.plan.hollow().iter().map(|conductor| conductor.id).collect();
@@ -94,6 +98,7 @@
             operations: Operations::new(now()),
             subscribers,
             head: Version::NONE,
+            ask_every,
             retries: 0,
             phases: Vec::new(),
         })
@@ -153,8 +158,7 @@
         self.cluster.prepare_hollow().await?;
         let begun = self.begin("start");
         let (head, at) = (self.head, now());
-        let recorder = Arc::clone(&self.cluster.recorder);
-        let asking = Asking::start(self.cluster.operator()?, recorder, self.cluster.plan.conductors.len());
+        let asking = self.ask(self.cluster.plan.conductors.len())?;
         self.cluster.begin().await?;
         // Both are waited for at once: the real ones must not be looked at only after the hollow ones.
         let level = self.level(head, START_TIMEOUT);
@@ -174,12 +178,14 @@
         let real = real?;
         self.cluster.report().await?;
         let bytes = self.cluster.recorder.bytes();
-        let participant = |conductor: &super::plan::Conductor| Participant {
+        let participant = |conductor: &Conductor| Participant {
             subscriber: conductor.id,
             interest: conductor.interest.clone(),
             since: now(),
         };
-        self.cluster.recorder.participate(self.cluster.plan.hollow().iter().map(participant).collect());
+        let plan = &self.cluster.plan;
+        self.cluster.recorder.participate(plan.hollow().iter().map(participant).collect());
+        self.cluster.recorder.participate_real(plan.real().iter().map(participant).collect());
         self.end(begun, None).await?;
         let since = |then: Micros| then.saturating_sub(at) as f64 / 1e3;
         Ok(FullStart {
@@ -220,7 +226,8 @@
         let changes = self.cluster.recorder.look(|history| history.agreed.len());
         // What was used before belongs to no phase.
         self.cluster.sampler.take();
-        Begun { name: name.to_owned(), at: Instant::now(), changes, retries: self.retries, notes: Vec::new() }
+        let (name, at, since) = (name.to_owned(), Instant::now(), now());
+        Begun { name, at, since, changes, retries: self.retries, notes: Vec::new() }
     }
 
     /// Ends a phase: all conductors become level, and tell what they hold. After a fault `since` is its end.
@@ -229,27 +236,35 @@
     /// A process that does not answer.
     pub async fn end(&mut self, mut begun: Begun, since: Option<Micros>) -> anyhow::Result<()> {
         let seconds = begun.at.elapsed().as_secs_f64();
-        let usage = self.cluster.sampler.take();
-        let (level, _) = self.level(self.head, LEVEL_TIMEOUT).await;
+        let used = self.cluster.sampler.take();
+        let real = self.cluster.real_act_by(self.head, LEVEL_TIMEOUT);
+        let ((level, _), real) = tokio::join!(self.level(self.head, LEVEL_TIMEOUT), real);
         if level < self.subscribers.len() {
             let behind = self.subscribers.len() - level;
             begun.notes.push(format!("{behind} hollow conductors do not act by {} in time", self.head));
         }
+        if let Err(error) = real {
+            begun.notes.push(format!("a real conductor is late: {error:#}"));
+        }
         sleep(SETTLE).await;
         self.cluster.report().await?;
+        self.cluster.recorder.take_orders(self.cluster.proxies.orders());
         let changes = self.cluster.recorder.look(|history| history.agreed.len()) - begun.changes;
         let places = begun.changes..begun.changes + changes;
-        let (travel, never) = self.travel(places);
-        begun.notes.extend(never);
+        let (travel, notes) = self.travel(places);
+        begun.notes.extend(notes);
+        begun.notes.extend(self.let_go(begun.since));
         let phase = Phase {
             travel,
             name: begun.name,
             seconds,
             changes,
             retries: self.retries - begun.retries,
-            usage,
+            usage: used.roles,
+            members: used.members,
             connected: self.cluster.recorder.connected(),
             level_ms: since.map(|since| self.level_after(since)),
+            level_real_ms: since.and_then(|since| self.real_level_after(since)),
             notes: begun.notes,
         };
         print!("{phase}");
@@ -257,38 +272,77 @@
         Ok(())
     }
 
-    /// Milliseconds until all had what was agreed by then; 0: they had it already.
+    /// In words, held servers that were let go after a restart since then.
+    fn let_go(&self, since: Micros) -> Vec<String> {
+        let let_go = |history: &History| {
+            let restarted = |id| history.down.iter().any(|down| down.subscriber == id && down.from >= since);
+            let mut told = let_go_after_restart(history);
+            told.retain(|one| restarted(one.subscriber));
+            told
+        };
+        let told = |LetGo { subscriber, version, held_again }| {
+            let span = held_again.map(|span| span / 1_000);
+            format!("{subscriber:?} let a server go after its restart that {version} holds, for {span:?} ms")
+        };
+        self.cluster.recorder.look(let_go).into_iter().map(told).collect()
+    }
+
+    /// Milliseconds until all hollow conductors had what was agreed by then; 0: they had it already.
     fn level_after(&self, since: Micros) -> f64 {
         let level = self.cluster.recorder.look(|history| level(history, since));
         level.map_or(0.0, |at| (at - since) as f64 / 1e3)
     }
 
-    /// How changes travelled, and in words some of those that proxies were never ordered.
+    /// The same for the proxies of all real conductors; none: some were never ordered all of it.
+    fn real_level_after(&self, since: Micros) -> Option<f64> {
+        let level = self.cluster.recorder.look(|history| real_level(history, since));
+        level.map(|at| (at - since) as f64 / 1e3)
+    }
+
+    /// How changes travelled; in words, some of those that proxies were never ordered, and the slowest to a proxy.
     fn travel(&self, places: Range<usize>) -> (Travel, Vec<String>) {
-        let never = std::cell::RefCell::new(Vec::new());
-        let at_proxies = |agreed: &Agreed| {
-            let at = self.at_proxies(agreed);
-            if let Err(id) = at {
-                never.borrow_mut().push(format!("never at the proxies of {id:?}: {:?}", agreed.changes));
+        self.cluster.recorder.look(|history| {
+            let (mut never, mut slowest) = (Vec::new(), None);
+            let at_proxies = |agreed: &Agreed| {
+                let at = self.at_proxies(history, agreed);
+                match at {
+                    Err(id) => never.push(format!("never at the proxies of {id:?}: {:?}", agreed.changes)),
+                    Ok(Some((at, id))) => {
+                        slowest = slowest.max(Some((at.saturating_sub(agreed.proposed), agreed.version, id)));
+                    }
+                    Ok(None) => {}
+                }
+                at.map(|at| at.map(|(at, _)| at))
+            };
+            let travelled = travel(history, &Applications::of(history), places, at_proxies);
+            never.truncate(NAMED_MOST);
+            if let Some((span, version, id)) = slowest {
+                let agreed = history.agreed.iter().find(|agreed| agreed.version == version);
+                let changes = agreed.map(|agreed| &agreed.changes);
+                let ms = span as f64 / 1e3;
+                never.push(format!("slowest at a proxy, {ms:.0} ms: {id:?}, {version}, {changes:?}"));
             }
-            at
-        };
-        let look = |history: &History| travel(history, &Applications::of(history), places, at_proxies);
-        let travelled = self.cluster.recorder.look(look);
-        let mut never = never.into_inner();
-        never.truncate(NAMED_MOST);
-        (travelled, never)
+            (travelled, never)
+        })
     }
 
-    /// When the last proxy of the last real conductor that the changes concern was ordered them.
-    fn at_proxies(&self, agreed: &Agreed) -> Result<Option<Micros>, SubscriberId> {
+    /// When the last proxy of the last real conductor that the changes concern was ordered them, and which conductor that
+    /// is. Those that were cut off or started again meanwhile are left out.
+    fn at_proxies(
+        &self,
+        history: &History,
+        agreed: &Agreed,
+    ) -> Result<Option<(Micros, SubscriberId)>, SubscriberId> {
         let mut last = None;
         for change in &agreed.changes {
             for conductor in &self.cluster.real {
                 let planned = &self.cluster.plan.conductors[conductor.id.0 as usize];
-                if planned.interest.covers(&change.scope) {
+                let region = &planned.interest.region;
+                let cut = history.cuts.iter().any(|cut| cut_off(region, cut, agreed.proposed));
+                let away = cut || history.down.iter().any(|down| down.is_away(conductor.id, agreed.proposed));
+                if !away && planned.interest.covers(&change.scope) {
                     let at = self.cluster.proxies.ordered(conductor.id, change, agreed.proposed);
-                    last = last.max(Some(at.ok_or(conductor.id)?));
+                    last = last.max(Some((at.ok_or(conductor.id)?, conductor.id)));
                 }
             }
         }
@@ -300,14 +354,21 @@
     /// # Errors
     /// As [`Run::propose`].
     pub async fn changes(&mut self, count: usize, per_s: f64) -> anyhow::Result<()> {
+        self.draws(&vec![Draw::Any; count], per_s).await
+    }
+
+    /// The same, each drawn for what is wanted.
+    ///
+    /// # Errors
+    /// As [`Run::propose`].
+    pub async fn draws(&mut self, draws: &[Draw], per_s: f64) -> anyhow::Result<()> {
         let mut ticks = interval(Duration::from_secs_f64(1.0 / per_s));
         // One that was late is followed at once by those that were due meanwhile: the pace is kept.
         ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
-        let asking = self.ask()?;
-        for _ in 0..count {
+        let asking = self.ask(0)?;
+        for draw in draws {
             ticks.tick().await;
-            let change = self.schedule.draw();
-            let version = self.propose(vec![change]).await?;
+            let version = self.change(*draw).await?;
             asking.about(version);
         }
         asking.until_everywhere(self.head, LAST_ASKED_FOR).await;
@@ -315,163 +376,26 @@
         Ok(())
     }
 
-    /// Asks where versions are in force, until stopped.
+    /// Makes one change.
     ///
     /// # Errors
-    /// Keys that make no client.
-    pub fn ask(&self) -> anyhow::Result<Asking> {
-        let recorder = Arc::clone(&self.cluster.recorder);
-        Ok(Asking::start(self.cluster.operator()?, recorder, 0))
+    /// As [`Run::propose`].
+    pub async fn change(&mut self, draw: Draw) -> anyhow::Result<Version> {
+        let change = match draw {
+            Draw::Any => self.schedule.draw(),
+            Draw::For(conductor) => self.schedule.draw_for(conductor),
+            Draw::Hold(conductor) => self.schedule.hold_for(conductor),
+        };
+        self.propose(vec![change]).await
     }
 
-    /// Swaps real conductors for hollow ones, and compares what a span with the same number of changes costs.
+    /// Asks where versions are in force, until stopped; an answer that counts fewer subscribers than `least` settles
+    /// nothing.
     ///
     /// # Errors
-    /// A process that does not start.
-    pub async fn swap(&mut self, count: usize, changes: usize) -> anyhow::Result<Swap> {
-        use super::measure::Role;
-        let count = count.min(self.cluster.real.len());
-        let before = self.begin("swap: real");
-        self.changes_for_real(changes).await?;
-        self.end(before, None).await?;
-        let real = self.last_usage(Role::RealConductor);
-        let pid = self.cluster.swap(count).await?;
-        // They attach, and the first acknowledgements are over.
-        sleep(LEVEL_TIMEOUT / 12).await;
-        self.cluster.sampler.watch(pid, Role::RealConductor, count);
-        let others: Vec<u32> = self.cluster.real.iter().map(super::cluster::RealConductor::pid).collect();
-        others.into_iter().for_each(|pid| self.cluster.sampler.forget(pid));
-        let after = self.begin("swap: hollow");
-        self.changes_for_real(changes).await?;
-        self.end(after, None).await?;
-        let hollow = self.last_usage(Role::RealConductor);
-        Ok(Swap {
-            conductors: count,
-            real_bytes_per_s: real.bytes_per_s,
-            hollow_bytes_per_s: hollow.bytes_per_s,
-            real_messages_per_s: real.messages_per_s,
-            hollow_messages_per_s: hollow.messages_per_s,
-        })
-    }
-
-    /// Changes for the services of the real conductors in turn, one a second.
-    async fn changes_for_real(&mut self, count: usize) -> anyhow::Result<()> {
-        let mut ticks = interval(Duration::from_secs(1));
-        for place in 0..count {
-            ticks.tick().await;
-            let change = self.schedule.draw_for_real(place);
-            self.propose(vec![change]).await?;
-        }
-        Ok(())
-    }
-
-    fn last_usage(&self, role: super::measure::Role) -> super::measure::RoleUsage {
-        let last = self.phases.last().and_then(|phase| phase.usage.get(&role));
-        last.copied().unwrap_or_default()
-    }
-}
-
-/// A task that asks the operators' endpoint where versions are in force, and records each answer.
-pub struct Asking {
-    versions: mpsc::Sender<Version>,
-    everywhere: watch::Receiver<(Version, Micros)>,
-    stop: CancellationToken,
-    task: JoinHandle<()>,
-}
-
-impl Asking {
-    /// Starts to ask; an answer that counts fewer subscribers than `least` settles nothing.
-    fn start(operator: Operator, recorder: Arc<Recorder>, least: usize) -> Self {
-        let (versions, wanted) = mpsc::channel(ASKED_MOST);
-        let (tell, everywhere) = watch::channel((Version::NONE, 0));
-        let stop = CancellationToken::new();
-        let stopped = stop.clone();
-        let ask = Ask { operator, recorder, least, wanted, tell, pending: VecDeque::new() };
-        let task = tokio::spawn(async move {
-            tokio::select! {
-                () = stopped.cancelled() => {}
-                () = ask.run() => {}
-            }
-        });
-        Self { versions, everywhere, stop, task }
-    }
-
-    /// Asks about a version, unless too many are asked for already.
-    pub fn about(&self, version: Version) {
-        let _ = self.versions.try_send(version);
-    }
-
-    /// Asks about a version until it is said to be in force everywhere, and tells when; none: not in time.
-    pub async fn until_everywhere(&self, version: Version, within: Duration) -> Option<Micros> {
-        let mut everywhere = self.everywhere.clone();
-        let told = async {
-            self.versions.send(version).await.ok()?;
-            everywhere.wait_for(|(known, _)| *known >= version).await.ok().map(|told| told.1)
-        };
-        timeout(within, told).await.ok().flatten()
-    }
-
-    /// Ends it.
-    pub async fn stop(self) {
-        self.stop.cancel();
-        let _ = self.task.await;
-    }
-}
-
-struct Ask {
-    operator: Operator,
-    recorder: Arc<Recorder>,
-    least: usize,
-    wanted: mpsc::Receiver<Version>,
-    tell: watch::Sender<(Version, Micros)>,
-    pending: VecDeque<(Version, Instant)>,
-}
-
-impl Ask {
-    async fn run(mut self) {
-        loop {
-            self.take_wanted().await;
-            let Some((version, since)) = self.pending.pop_front() else { return };
-            match self.operator.standing(version).await {
-                Ok(standing) => {
-                    let (at, everywhere) = (now(), standing.everywhere);
-                    self.recorder.answered(Answered { at, version, everywhere });
-                    if everywhere && standing.expected >= self.least {
-                        self.tell.send_if_modified(|told| {
-                            let news = told.0 < version;
-                            if news {
-                                *told = (version, at);
-                            }
-                            news
-                        });
-                    } else if since.elapsed() < ASKED_FOR {
-                        self.pending.push_back((version, since));
-                    }
-                    sleep(ASK_EVERY).await;
-                }
-                Err(error) => {
-                    tracing::debug!(event = "standing_unknown", %version, %error);
-                    if since.elapsed() < ASKED_FOR {
-                        self.pending.push_front((version, since));
-                    }
-                    self.operator.move_on();
-                    sleep(ASK_NEXT_AFTER).await;
-                }
-            }
-        }
-    }
-
-    /// Waits until something is wanted, and takes what fits.
-    async fn take_wanted(&mut self) {
-        if self.pending.is_empty()
-            && let Some(version) = self.wanted.recv().await
-        {
-            self.pending.push_back((version, Instant::now()));
-        }
-        while self.pending.len() < ASKED_MOST
-            && let Ok(version) = self.wanted.try_recv()
-        {
-            self.pending.push_back((version, Instant::now()));
-        }
+    /// Keys that make no client.
+    pub fn ask(&self, least: usize) -> anyhow::Result<Asking> {
+        let recorder = Arc::clone(&self.cluster.recorder);
+        Ok(Asking::start(self.cluster.operator()?, recorder, self.ask_every, least))
     }
 }
--- a/crates/stepspur-scale/src/fleet/settings.rs
+++ b/crates/stepspur-scale/src/fleet/settings.rs
@@ -8,13 +8,13 @@
 use stepspur_peers::{Council, Place};
 
 use super::operators::TENANT;
-use super::plan::{Conductor, ControlMember, Plan, route};
+use super::plan::{Conductor, ControlMember, Plan, ROUTES_MOST, route};
 use crate::hollow_conductors::message::ControlPlace;
 
 /// Zones of a real conductor's servers.
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Classes of a real conductor: as many as an engine takes, so that it knows every route.
-const CLASSES: usize = 16;
+const CLASSES: usize = ROUTES_MOST;
 /// Proxies of a real conductor.
 pub const PROXIES: usize = 3;
 /// The council's times, as the program's defaults are.
--- a/crates/stepspur-scale/src/fleet/sockets.rs
+++ b/crates/stepspur-scale/src/fleet/sockets.rs
@@ -10,8 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Bytes of IPv4 and TCP headers with timestamps, for each segment.
-pub const HEADER_BYTES: u64 = 52;
+use crate::traffic::HEADER_BYTES;
 
 /// What passed at sockets, both ways.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,10 +56,13 @@
 
 /// A connection's end at a process.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct End {
-    pid: u32,
-    local: String,
-    peer: String,
+pub struct End {
+    /// The process.
+    pub pid: u32,
+    /// Its address.
+    pub local: String,
+    /// The address of the other end.
+    pub peer: String,
 }
 
 /// The counts of all connections at one time.
@@ -81,20 +83,31 @@
     }
 
     /// Reads the output of `ss -tinpHO state established`, one connection a line.
-    fn parse(text: &str) -> Self {
+    pub fn parse(text: &str) -> Self {
         Self(text.lines().filter_map(connection).collect())
     }
 
-    /// What passed at each process since an earlier look, over connections whose peer is wanted. A connection that is
-    /// new counts whole.
+    /// What passed at each end since an earlier look. A connection that is new counts whole.
+    pub fn passed<'a>(&'a self, before: &'a Look) -> impl Iterator<Item = (&'a End, Traffic)> {
+        self.0.iter().map(|(end, traffic)| {
+            let then = before.0.get(end).copied().unwrap_or_default();
+            (end, traffic.since(then))
+        })
+    }
+
+    /// What passed at each process since an earlier look, over connections whose peer is wanted.
     pub fn since(&self, before: &Look, wanted: impl Fn(&str) -> bool) -> BTreeMap<u32, Traffic> {
         let mut sums: BTreeMap<u32, Traffic> = BTreeMap::new();
-        for (end, traffic) in self.0.iter().filter(|(end, _)| wanted(&end.peer)) {
-            let then = before.0.get(end).copied().unwrap_or_default();
-            sums.entry(end.pid).or_default().add(traffic.since(then));
+        for (end, traffic) in self.passed(before).filter(|(end, _)| wanted(&end.peer)) {
+            sums.entry(end.pid).or_default().add(traffic);
         }
         sums
     }
+
+    /// All ends.
+    pub fn ends(&self) -> impl Iterator<Item = &End> {
+        self.0.keys()
+    }
 }
 
 fn connection(line: &str) -> Option<(End, Traffic)> {
--- a/crates/stepspur-scale/src/fleet/sockets/tests.rs
+++ b/crates/stepspur-scale/src/fleet/sockets/tests.rs
@@ -1,6 +1,7 @@
 //! The kernel's counts as they are read.
 
-use super::{HEADER_BYTES, Look, Traffic};
+use super::{Look, Traffic};
+use crate::traffic::HEADER_BYTES;
 
 const FIRST: &str = r#"0 0 127.0.0.1:8443 127.0.0.1:50100 users:(("stepspur",pid=41,fd=18)) bbr rto:204 bytes_sent:335 bytes_acked:335 bytes_received:993 segs_out:12 segs_in:14 data_segs_out:1 data_segs_in:11 send 4bps
 0 0 127.0.0.1:50100 127.0.0.1:8443 users:(("exe",pid=42,fd=7)) bbr bytes_sent:993 bytes_acked:994 bytes_received:335 segs_out:14 segs_in:12 data_segs_out:11 data_segs_in:1
--- /dev/null
+++ b/crates/stepspur-scale/src/fleet/swap.rs
@@ -0,0 +1,62 @@
+//! Real conductors swapped for hollow ones: what the same number of changes costs both on the wire.
+
+use std::time::Duration;
+
+use tokio::time::{interval, sleep};
+
+use super::history::SubscriberId;
+use super::measure::{Role, RoleUsage};
+use super::report::Swap;
+use super::run::Run;
+
+/// Changes a second while the two are compared.
+const PACE_PER_S: f64 = 1.0;
+/// Hollow conductors have attached after this, and their first acknowledgements are over.
+const ATTACHED_AFTER: Duration = Duration::from_secs(5);
+
+impl Run {
+    /// Swaps real conductors for hollow ones, and compares what a span with the same number of changes for each of them
+    /// costs. Other real conductors are not looked at from then on.
+    ///
+    /// # Errors
+    /// A process that does not start.
+    pub async fn swap(&mut self, count: usize, changes: usize) -> anyhow::Result<Swap> {
+        let ids = self.cluster.to_swap(count);
+        let others = self.cluster.real.iter().filter(|conductor| !ids.contains(&conductor.id));
+        others.for_each(|conductor| self.cluster.sampler.forget(conductor.pid()));
+        let before = self.begin("swap: real");
+        self.changes_for(&ids, changes).await?;
+        self.end(before, None).await?;
+        let real = self.last_usage(Role::RealConductor);
+        let pid = self.cluster.swap(&ids).await?;
+        sleep(ATTACHED_AFTER).await;
+        self.cluster.sampler.watch(pid, Role::RealConductor, ids.len());
+        let after = self.begin("swap: hollow");
+        self.changes_for(&ids, changes).await?;
+        self.end(after, None).await?;
+        let hollow = self.last_usage(Role::RealConductor);
+        Ok(Swap {
+            conductors: ids.len(),
+            real_bytes_per_s: real.bytes_per_s,
+            hollow_bytes_per_s: hollow.bytes_per_s,
+            real_messages_per_s: real.messages_per_s,
+            hollow_messages_per_s: hollow.messages_per_s,
+        })
+    }
+
+    /// Changes for the services of these conductors in turn.
+    async fn changes_for(&mut self, ids: &[SubscriberId], count: usize) -> anyhow::Result<()> {
+        let mut ticks = interval(Duration::from_secs_f64(1.0 / PACE_PER_S));
+        for id in ids.iter().cycle().take(count) {
+            ticks.tick().await;
+            let change = self.schedule.draw_for(id.0 as usize);
+            self.propose(vec![change]).await?;
+        }
+        Ok(())
+    }
+
+    fn last_usage(&self, role: Role) -> RoleUsage {
+        let last = self.phases().last().and_then(|phase| phase.usage.get(&role));
+        last.copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/stepspur-scale/src/gate.rs
@@ -0,0 +1,100 @@
+//! Links that can be cut: while a gate is cut nothing passes through its streams, not even the news that a connection
+//! was closed.
+
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Waker, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// The links of one region: open, or cut.
+#[derive(Debug, Default)]
+pub struct Gate {
+    cut: AtomicBool,
+    /// Tasks that wait for the healing: each link has two at most.
+    waiting: Mutex<Vec<Waker>>,
+}
+
+impl Gate {
+    /// Cuts or heals the links.
+    pub fn set(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+        if !cut {
+            let waiting = std::mem::take(&mut *self.waiting.lock().unwrap_or_else(PoisonError::into_inner));
+            waiting.into_iter().for_each(Waker::wake);
+        }
+    }
+
+    /// True: the links are cut.
+    pub fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::SeqCst)
+    }
+
+    /// Waits until the links are open.
+    pub async fn opened(&self) {
+        poll_fn(|context| self.poll_open(context)).await;
+    }
+
+    /// Ready once the links are open.
+    fn poll_open(&self, context: &mut Context<'_>) -> Poll<()> {
+        if !self.is_cut() {
+            return Poll::Ready(());
+        }
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if !waiting.iter().any(|waker| waker.will_wake(context.waker())) {
+            waiting.push(context.waker().clone());
+        }
+        drop(waiting);
+        // Healed in between: nobody else would wake this task.
+        if self.is_cut() { Poll::Pending } else { Poll::Ready(()) }
+    }
+}
+
+/// A stream through which nothing passes while its gate is cut.
+#[derive(Debug)]
+pub struct Gated<S> {
+    stream: S,
+    gate: Arc<Gate>,
+}
+
+impl<S> Gated<S> {
+    /// Puts a stream behind a gate.
+    pub fn new(stream: S, gate: Arc<Gate>) -> Self {
+        Self { stream, gate }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Gated<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        ready!(self.gate.poll_open(context));
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Gated<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.gate.poll_open(context));
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.gate.poll_open(context));
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.gate.poll_open(context));
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/stepspur-scale/src/hollow_conductors/net.rs
+++ b/crates/stepspur-scale/src/hollow_conductors/net.rs
@@ -4,52 +4,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll};
 
 use stepspur_peers::{Later, Listen, Net, Stream, Tcp};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::message::Bytes;
-
-/// The links of one region: open, or cut.
-#[derive(Debug, Default)]
-pub struct Gate {
-    cut: AtomicBool,
-    /// Tasks that wait for the healing: each link has two at most.
-    waiting: Mutex<Vec<Waker>>,
-}
-
-impl Gate {
-    /// Cuts or heals the links.
-    pub fn set(&self, cut: bool) {
-        self.cut.store(cut, Ordering::SeqCst);
-        if !cut {
-            let waiting = std::mem::take(&mut *self.waiting.lock().unwrap_or_else(PoisonError::into_inner));
-            waiting.into_iter().for_each(Waker::wake);
-        }
-    }
-
-    /// True: the links are cut.
-    pub fn is_cut(&self) -> bool {
-        self.cut.load(Ordering::SeqCst)
-    }
-
-    /// Ready once the links are open.
-    fn poll_open(&self, context: &mut Context<'_>) -> Poll<()> {
-        if !self.is_cut() {
-            return Poll::Ready(());
-        }
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        if !waiting.iter().any(|waker| waker.will_wake(context.waker())) {
-            waiting.push(context.waker().clone());
-        }
-        drop(waiting);
-        // Healed in between: nobody else would wake this task.
-        if self.is_cut() { Poll::Pending } else { Poll::Ready(()) }
-    }
-}
+use crate::gate::{Gate, Gated};
 
 /// The gates of all regions of a process.
 #[derive(Debug, Default)]
@@ -100,18 +63,16 @@
 
     fn dial(&self, to: SocketAddr) -> Later<'_, io::Result<Box<dyn Stream>>> {
         Box::pin(async move {
-            std::future::poll_fn(|context| self.gate.poll_open(context)).await;
-            let stream = Tcp.dial(to).await?;
-            let (gate, counters) = (Arc::clone(&self.gate), Arc::clone(&self.counters));
-            Ok(Box::new(GatedStream { stream, gate, counters }) as Box<dyn Stream>)
+            self.gate.opened().await;
+            let stream = Gated::new(Tcp.dial(to).await?, Arc::clone(&self.gate));
+            Ok(Box::new(Counted { stream, counters: Arc::clone(&self.counters) }) as Box<dyn Stream>)
         })
     }
 }
 
-/// A connection through which nothing passes while its gate is cut: not even the news that it was closed.
-struct GatedStream {
-    stream: Box<dyn Stream>,
-    gate: Arc<Gate>,
+/// A connection whose bytes are counted.
+struct Counted {
+    stream: Gated<Box<dyn Stream>>,
     counters: Arc<Counters>,
 }
 
@@ -122,13 +83,12 @@
     }
 }
 
-impl AsyncRead for GatedStream {
+impl AsyncRead for Counted {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        std::task::ready!(self.gate.poll_open(context));
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         count(&self.counters.read, &self.counters.reads, buffer.filled().len() - before);
@@ -136,13 +96,12 @@
     }
 }
 
-impl AsyncWrite for GatedStream {
+impl AsyncWrite for Counted {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        std::task::ready!(self.gate.poll_open(context));
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         if let Poll::Ready(Ok(length)) = &written {
             count(&self.counters.written, &self.counters.writes, *length);
@@ -151,12 +110,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        std::task::ready!(self.gate.poll_open(context));
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        std::task::ready!(self.gate.poll_open(context));
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/stepspur-scale/src/main.rs
+++ b/crates/stepspur-scale/src/main.rs
@@ -6,6 +6,7 @@
 mod drains;
 mod fit;
 mod fleet;
+mod gate;
 mod hollow;
 mod hollow_conductors;
 mod program;
--- a/crates/stepspur-scale/tests/fleet.rs
+++ b/crates/stepspur-scale/tests/fleet.rs
@@ -1,4 +1,5 @@
-//! A small scale run of real processes: three control members, two real conductors, twenty hollow ones, judged.
+//! A small scale run of real processes: three control members, two real conductors, twenty hollow ones, judged. A region
+//! with one of the real conductors is cut off, and one is restarted.
 
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -32,6 +33,7 @@
     let mut run = Command::new(RIG);
     run.args(["fleet", "--conductors", "22", "--real", "2", "--controls", "3", "--keep-alive-ms", "500"])
         .args(["--changes", "12", "--pace", "6", "--burst-s", "1", "--seed", "3"])
+        .args(["--faults=region,restart", "--outage-s", "4", "--ask-every-ms", "100"])
         .arg("--json")
         .arg(&json)
         .arg("--program")
@@ -74,4 +76,24 @@
         assert!(travel["in_force"]["count"].as_u64() > Some(0), "{told}");
         assert!(travel["at_proxies"]["count"].as_u64() > Some(0), "{told}");
     }
+    // With whom the leader exchanged bytes.
+    let leader = &phase("mean")["members"][0];
+    assert_eq!((&leader["leads"], &leader["votes"]), (&Value::Bool(true), &Value::Bool(true)), "{told}");
+    for kind in ["council_voters", "operators", "subscribers", "summaries"] {
+        assert!(leader["peers"][kind]["segments_per_s"].as_f64() > Some(0.0), "{kind}: {leader}");
+    }
+    // The real conductor that was cut off, and the one that was restarted, were looked at and level again.
+    assert!(report["verdict"]["looked_at_real"].as_u64() > Some(20), "{told}");
+    for (name, noted) in [
+        ("a region cut off", "and 1 real conductors cut off for 4s"),
+        ("a tenth of the conductors restarted", "2 hollow and 1 real conductors restarted"),
+    ] {
+        let phase = phase(name);
+        assert_eq!(phase["connected"].as_u64(), Some(20), "{told}");
+        assert!(phase["notes"][0].as_str().is_some_and(|note| note.ends_with(noted)), "{told}");
+        assert!(phase["level_ms"].is_number() && phase["level_real_ms"].as_f64() > Some(0.0), "{told}");
+        let travel = &phase["travel"];
+        let never = (travel["missing"].as_u64(), travel["missing_at_proxies"].as_u64());
+        assert_eq!(never, (Some(0), Some(0)), "{told}");
+    }
 }
