--- /dev/null
+++ b/crates/stepspur-rehearsal/src/run/conductors.rs
@@ -0,0 +1,88 @@
+//! Starts, kills and restarts the conductors of a day.
+
+use std::net::SocketAddr;
+
+use stepspur_conductor::Config;
+use tokio::sync::{Mutex, watch};
+
+use super::error::RunError;
+use super::world::World;
+use crate::launch::{LaunchError, Running};
+use crate::trace::{Event, lock};
+use crate::usage::Usage;
+
+/// A place for a conductor, which may be started there many times.
+pub(super) struct ConductorSlot {
+    /// Its settings, with a node list of its own.
+    config: Config,
+    /// The conductor that runs here now.
+    running: Mutex<Option<Running>>,
+    /// Where it listens now.
+    pub address: watch::Sender<Option<SocketAddr>>,
+}
+
+impl ConductorSlot {
+    /// A place where no conductor runs yet.
+    pub fn new(config: Config) -> Self {
+        Self { config, running: Mutex::default(), address: watch::Sender::new(None) }
+    }
+}
+
+impl World {
+    /// Starts all conductors for the first time.
+    pub async fn start_conductors(&self) -> Result<(), RunError> {
+        for conductor in 0..self.conductors.len() {
+            self.start_conductor(conductor).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_conductor(&self, conductor: usize) -> Result<(), LaunchError> {
+        let slot = &self.conductors[conductor];
+        let mut place = slot.running.lock().await;
+        self.trace.note(Event::Conductor { conductor, up: true });
+        let running = self.launcher.start(&slot.config).await?;
+        slot.address.send_replace(Some(running.address));
+        *place = Some(running);
+        Ok(())
+    }
+
+    /// Starts a conductor again after it was killed or terminated; a failure is logged.
+    pub async fn start_conductor_again(&self, conductor: usize) {
+        if let Err(error) = self.start_conductor(conductor).await {
+            tracing::error!(event = "conductor_lost", conductor, %error);
+        }
+    }
+
+    /// Kills a conductor outright, without a goodbye to its proxies.
+    pub async fn kill_conductor(&self, conductor: usize) {
+        let slot = &self.conductors[conductor];
+        let running = slot.running.lock().await.take();
+        slot.address.send_replace(None);
+        if let Some(running) = running {
+            self.add_conductor_cpu(&running);
+            running.kill().await;
+        }
+        self.trace.note(Event::Conductor { conductor, up: false });
+    }
+
+    /// Tells a conductor to end, so that it says goodbye to its proxies, and starts it again at once.
+    pub async fn restart_conductor(&self, conductor: usize) {
+        let slot = &self.conductors[conductor];
+        let running = slot.running.lock().await.take();
+        if let Some(running) = running {
+            self.add_conductor_cpu(&running);
+            running.terminate().await;
+        }
+        slot.address.send_replace(None);
+        self.trace.note(Event::Conductor { conductor, up: false });
+        self.start_conductor_again(conductor).await;
+    }
+
+    /// Adds the processor time of a conductor that is about to end, if it runs as a process of its own.
+    fn add_conductor_cpu(&self, running: &Running) {
+        if let Some(usage) = running.pid().and_then(|pid| Usage::of(pid).ok()) {
+            *lock(&self.conductor_cpu_s) += usage.cpu_s;
+        }
+    }
+}
--- /dev/null
+++ b/crates/stepspur-rehearsal/src/run/setup.rs
@@ -0,0 +1,212 @@
+//! Builds the world of a day from its plan.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use stepspur_conductor::Config;
+use stepspur_conductor::config::Source;
+use stepspur_conductor::source::NodeState;
+use stepspur_identity::keys::KeyFault;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::conductors::ConductorSlot;
+use super::error::RunError;
+use super::world::World;
+use crate::clients::Crowd;
+use crate::identity::DayKeys;
+use crate::launch::Launcher;
+use crate::links::Links;
+use crate::node::{Memories, Node};
+use crate::plan::Plan;
+use crate::proxy::Proxy;
+use crate::registry::Registry;
+use crate::relay;
+use crate::trace::Trace;
+
+/// Distinguishes the random choice of standing tables from other uses of the plan's seed.
+const STANDING_TABLE_SEED: u64 = 0x57a4d;
+/// A standing table names servers of the proxy's own zone only if at least this many run there.
+const STANDING_TABLE_MIN_LOCAL: usize = 3;
+/// How often a conductor polls the node list.
+const LIST_POLL: Duration = Duration::from_secs(5);
+/// A conductor gives up a request to the node list after this time.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Path of the node list.
+const LIST_PATH: &str = "/v1/nodes";
+/// Any free port on loopback.
+const ANY_PORT: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
+
+impl World {
+    /// Binds all sockets and starts servers, node lists, relays and proxies. No conductor runs yet.
+    pub async fn build(
+        plan: Arc<Plan>,
+        launcher: Launcher,
+        stop: &CancellationToken,
+    ) -> Result<Arc<Self>, RunError> {
+        let setup = Setup::new(&plan, stop);
+        let nodes = setup.start_nodes()?;
+        let (config, keys) = setup.conductor_config()?;
+        let proxies = setup.make_proxies(&nodes, keys)?;
+        let crowd = Crowd::new(Arc::clone(&plan), proxies.clone());
+        let (conductors, fronts) = setup.place_conductors(&config).await?;
+        setup.start_proxies(&proxies, &fronts);
+        let Setup { trace, links, registry, tasks, .. } = setup;
+        let world = Self {
+            node_indices: nodes.iter().map(|node| (node.address, node.index)).collect(),
+            plan,
+            trace,
+            links,
+            registry,
+            nodes,
+            proxies,
+            crowd,
+            launcher,
+            conductors,
+            active_faults: Mutex::default(),
+            samples: Mutex::default(),
+            conductor_cpu_s: Mutex::default(),
+            tasks,
+        };
+        world.list_initial_nodes();
+        Ok(Arc::new(world))
+    }
+
+    /// Lists the servers that run from the start as ready.
+    fn list_initial_nodes(&self) {
+        let running = self.nodes.iter().filter(|node| node.is_up());
+        self.registry.set(running.map(|node| self.record(node, NodeState::Ready, 0)));
+    }
+}
+
+/// What the parts of a world share while it is built.
+struct Setup<'a> {
+    plan: &'a Arc<Plan>,
+    stop: &'a CancellationToken,
+    trace: Arc<Trace>,
+    links: Arc<Links>,
+    registry: Arc<Registry>,
+    tasks: TaskTracker,
+}
+
+impl<'a> Setup<'a> {
+    fn new(plan: &'a Arc<Plan>, stop: &'a CancellationToken) -> Self {
+        let trace = Arc::new(Trace::default());
+        Self {
+            plan,
+            stop,
+            registry: Registry::new(Arc::clone(&trace)),
+            trace,
+            links: Arc::default(),
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    fn start_nodes(&self) -> Result<Vec<Arc<Node>>, RunError> {
+        let memories = Arc::new(Memories::new(self.plan));
+        let mut nodes = Vec::new();
+        for index in 0..self.plan.servers.len() {
+            let (links, trace) = (Arc::clone(&self.links), Arc::clone(&self.trace));
+            let (node, socket) = Node::new(self.plan, index, links, Arc::clone(&memories), trace)?;
+            self.tasks.spawn(Arc::clone(&node).run(socket, self.stop.clone()));
+            nodes.push(node);
+        }
+        Ok(nodes)
+    }
+
+    /// The conductors' settings but for their node list, and the day's keys if it plays with identities.
+    fn conductor_config(&self) -> Result<(Config, Option<Arc<DayKeys>>), RunError> {
+        let mut config = self.plan.config.clone();
+        config.listen.address = SocketAddr::from(ANY_PORT);
+        config.status.address = None;
+        config.fleet.conductors = config.fleet.conductors.max(self.plan.conductors as u32);
+        let keys = if self.plan.identity { Some(Arc::new(DayKeys::new()?)) } else { None };
+        if let Some(keys) = &keys {
+            config.listen.plain_on_loopback = false;
+            config.identity = Some(keys.config());
+        }
+        if let Some(fault) = config.faults().first() {
+            return Err(RunError::Config(format!("{}: {}", fault.key, fault.what)));
+        }
+        Ok((config, keys))
+    }
+
+    fn make_proxies(
+        &self,
+        nodes: &[Arc<Node>],
+        keys: Option<Arc<DayKeys>>,
+    ) -> Result<Vec<Arc<Proxy>>, KeyFault> {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.plan.seed ^ STANDING_TABLE_SEED);
+        let make = |index: usize| {
+            let zone = self.plan.proxies[index].zone;
+            let standing = standing_table(self.plan, nodes, zone, &mut rng);
+            let trace = Arc::clone(&self.trace);
+            Ok(Arc::new(Proxy::new(self.plan, index, standing, trace, keys.clone())?))
+        };
+        (0..self.plan.proxies.len()).map(make).collect()
+    }
+
+    /// Makes a place for each conductor: its node list and the relay in front of it. Returns the places, and the
+    /// addresses of the relays, which proxies dial.
+    async fn place_conductors(
+        &self,
+        config: &Config,
+    ) -> Result<(Vec<ConductorSlot>, Vec<SocketAddr>), RunError> {
+        let (mut slots, mut fronts) = (Vec::new(), Vec::new());
+        for index in 0..self.plan.conductors.max(1) {
+            let source = self.serve_node_list(index, config).await?;
+            let slot = ConductorSlot::new(Config { source, ..config.clone() });
+            fronts.push(self.start_relay(index, &slot).await?);
+            slots.push(slot);
+        }
+        Ok((slots, fronts))
+    }
+
+    /// Serves the node list to one conductor.
+    async fn serve_node_list(&self, conductor: usize, config: &Config) -> std::io::Result<Source> {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        let source = Source::Http {
+            address: listener.local_addr()?,
+            path: LIST_PATH.into(),
+            poll: LIST_POLL,
+            timeout: LIST_TIMEOUT,
+            doubt: config.source.doubt().clone(),
+        };
+        self.tasks.spawn(Arc::clone(&self.registry).serve(conductor, listener, self.stop.clone()));
+        Ok(source)
+    }
+
+    /// Starts the relay in front of a conductor, and returns its address.
+    async fn start_relay(&self, conductor: usize, slot: &ConductorSlot) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        let address = listener.local_addr()?;
+        let zone = (self.plan.conductor_zone + conductor) % self.plan.zones.len().max(1);
+        let conductor_address = slot.address.subscribe();
+        let (links, stop) = (Arc::clone(&self.links), self.stop.clone());
+        self.tasks.spawn(relay::before_conductor(listener, conductor_address, zone, links, stop));
+        Ok(address)
+    }
+
+    fn start_proxies(&self, proxies: &[Arc<Proxy>], fronts: &[SocketAddr]) {
+        for proxy in proxies {
+            self.tasks.spawn(Arc::clone(proxy).run(fronts.to_vec(), self.stop.clone()));
+        }
+    }
+}
+
+/// The table that a proxy has before it joins: a random choice of the running servers of its zone, or of all zones
+/// if too few run there.
+fn standing_table(plan: &Plan, nodes: &[Arc<Node>], zone: usize, rng: &mut ChaCha8Rng) -> Vec<SocketAddr> {
+    let running = nodes.iter().filter(|node| node.is_up());
+    let local: Vec<_> = running.clone().filter(|node| node.zone == zone).map(|node| node.address).collect();
+    let candidates = match local.len() >= STANDING_TABLE_MIN_LOCAL {
+        true => local,
+        false => running.map(|node| node.address).collect(),
+    };
+    candidates.sample(rng, plan.standing).copied().collect()
+}
--- /dev/null
+++ b/crates/stepspur-rehearsal/src/run/world.rs
@@ -0,0 +1,55 @@
+//! The running emulation of a day.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::conductors::ConductorSlot;
+use crate::clients::Crowd;
+use crate::launch::Launcher;
+use crate::links::Links;
+use crate::node::Node;
+use crate::plan::Plan;
+use crate::proxy::Proxy;
+use crate::registry::Registry;
+use crate::series::Sample;
+use crate::trace::Trace;
+
+/// Everything that takes part in a day, and what is observed of it.
+pub(super) struct World {
+    pub plan: Arc<Plan>,
+    pub trace: Arc<Trace>,
+    pub links: Arc<Links>,
+    /// The node list.
+    pub registry: Arc<Registry>,
+    /// The servers.
+    pub nodes: Vec<Arc<Node>>,
+    /// The index of each server in `nodes`, by its address.
+    pub node_indices: BTreeMap<SocketAddr, usize>,
+    pub proxies: Vec<Arc<Proxy>>,
+    /// The clients.
+    pub crowd: Arc<Crowd>,
+    pub launcher: Launcher,
+    pub conductors: Vec<ConductorSlot>,
+    /// Names of the faults in effect.
+    pub active_faults: Mutex<Vec<String>>,
+    pub samples: Mutex<Vec<Sample>>,
+    /// Processor time of conductors that have ended, in seconds.
+    pub conductor_cpu_s: Mutex<f64>,
+    pub tasks: TaskTracker,
+}
+
+impl World {
+    /// Stops all tasks, kills the conductors, and waits until the tasks have ended.
+    pub async fn shut_down(&self, stop: &CancellationToken) {
+        stop.cancel();
+        for conductor in 0..self.conductors.len() {
+            self.kill_conductor(conductor).await;
+        }
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
