--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -440,7 +441,8 @@
         env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
         env.update(LB_CONFIG=path, LB_NAME="n1", LB_LISTEN="%s:%d" % self.listen,
                    LB_DISCOVERY=f"127.0.0.1:{self.discovery.port}", TMPDIR=self.tmp)
-        run = os.environ.get("CASE_RUN", "exec target/release/stepspur run --platform")
+        with open(os.path.join(ROOT, "deploy", "balancer.toml")) as file:
+            run = re.search(r'^run = "(.*)"$', file.read(), re.MULTILINE).group(1)
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=self.log_file, stderr=self.log_file)
         self.record("conductor-started", pid=self.process.pid)
         for _ in range(300):
@@ -695,6 +697,7 @@
         worlds.append(self)
 
     World.__init__ = remember
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = 2
     try:
         world = asyncio.run(main())
