Log which class has no server at which proxies, since when, and by which step

Change: policy/route_gaps.rs logs the begin and the end of each gap: class, zone, table, number and first proxies, and the step of the plan that chose the table's servers. TablePlan and Table carry that step. The log decides nothing.

--- a/src/policy/eligibility.rs
+++ b/src/policy/eligibility.rs
@@ -2,7 +2,7 @@
 
 use super::Policy;
 use super::server::Server;
-use crate::interface::ZoneId;
+use crate::interface::{ClassId, ZoneId};
 
 impl Policy {
     /// True: the zone's proxies may use the server. It is listed as ready, healthy by its probes, its slow
@@ -15,6 +15,12 @@
         server.zone_stats.get(&zone).is_none_or(|stats| stats.ejected_until.is_none())
     }
 
+    /// True: the settings permit that the zone's proxies send requests of the class to the server.
+    pub(super) fn may_serve(&self, server: &Server, zone: ZoneId, class: ClassId) -> bool {
+        let class = self.settings.classes.get(usize::from(class.0));
+        server.zone() == zone || class.is_none_or(|class| !class.zone_local)
+    }
+
     /// Listed weight × slow-start ratio × outlier weight: the capacity that a server contributes to sums and
     /// to lending. Its weight in a table may be lower while it warms up.
     pub(super) fn effective_weight(&self, server: &Server) -> f64 {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -19,6 +19,7 @@
 mod proxy;
 mod publish;
 mod retry;
+mod route_gaps;
 mod server;
 mod sharding;
 mod slow_start;
@@ -35,6 +36,7 @@
 use load::{FleetLoad, UpstreamReport};
 use outlier_detection::OutlierDetection;
 use proxy::Proxy;
+use route_gaps::RouteGaps;
 use server::Server;
 use sharding::Shard;
 use table::Table;
@@ -74,6 +76,7 @@
     /// True: each zone has its own tables; false: all proxies share one table.
     zone_aware: bool,
     channel: ChannelQueue,
+    route_gaps: RouteGaps,
 }
 
 impl Policy {
@@ -101,6 +104,7 @@
             admission: AdmissionController::default(),
             zone_aware: false,
             channel: ChannelQueue::default(),
+            route_gaps: RouteGaps::default(),
         }
     }
 
--- a/src/policy/publish.rs
+++ b/src/policy/publish.rs
@@ -55,6 +55,7 @@
             self.publish_table(&plan, &admitted_ratios);
         }
         self.eject_at_proxies();
+        self.log_route_gaps();
     }
 
     /// Sends the changes of a table in one message. If flow control does not permit that, it tries the weight
@@ -63,6 +64,7 @@
     fn publish_table(&mut self, plan: &TablePlan, admitted_ratios: &[f64]) {
         let id = plan.table;
         let table = self.tables.entry(id).or_default();
+        table.plan_step = plan.step;
         let proxies = table.proxies.clone();
         let changed_at = table.changed_at;
         let mut changes = self.table_changes(plan, admitted_ratios);
--- a/src/policy/table.rs
+++ b/src/policy/table.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Policy;
+use super::table_plan::PlanStep;
 use crate::interface::{ClassId, Micros, ProxyId, RetryPolicy, ServerId, TableId};
 
 /// A routing table as last published.
@@ -19,6 +20,8 @@
     pub(super) proxies: BTreeSet<ProxyId>,
     /// Total traffic that the connected proxies of its subset declared, in requests per second.
     pub(super) declared_rate: f64,
+    /// The step of its newest plan that chose its servers. Flow control may delay the plan's changes.
+    pub(super) plan_step: PlanStep,
 }
 
 /// Admission level and retry policy of one class at a table's proxies.
--- a/src/policy/table_plan.rs
+++ b/src/policy/table_plan.rs
@@ -6,6 +6,7 @@
 //! [`Policy::slow_start_ratio`].
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use super::Policy;
 use super::server::Server;
@@ -44,10 +45,43 @@
 /// Servers grouped by the index of their subset within its zone.
 type Siblings<'a> = BTreeMap<u16, Vec<&'a Server>>;
 
+/// The step of a plan that chose the servers of a table: the last one that had to be taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum PlanStep {
+    /// The usable servers of its own subset; while one table is shared, of the fleet.
+    #[default]
+    Subset,
+    /// Those of its sibling subsets in other zones, too.
+    Siblings,
+    /// Those of other subsets, too.
+    SpillOver,
+    /// All ready servers, as none is usable.
+    Panic,
+}
+
+impl fmt::Display for PlanStep {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            PlanStep::Subset => "its subset",
+            PlanStep::Siblings => "its siblings in other zones",
+            PlanStep::SpillOver => "other subsets",
+            PlanStep::Panic => "the whole list (panic mode)",
+        })
+    }
+}
+
+/// The servers chosen for a table.
+struct ChosenServers<'a> {
+    servers: Vec<&'a Server>,
+    step: PlanStep,
+}
+
 /// The servers and weights that a table should have.
 pub(super) struct TablePlan {
     /// The table, which has the number of its subset.
     pub(super) table: TableId,
+    /// The step that chose its servers.
+    pub(super) step: PlanStep,
     /// The weight of each server, on the scale of listed weights; only ratios within the table matter. It is
     /// above 0: the merge of the endpoint list replaces other listed weights by 1, and the factors have lower
     /// bounds above 0.
@@ -70,7 +104,7 @@
             let members = siblings.get(&self.sibling_index(subset)).map_or(&[][..], |members| members);
             let usable = members.iter().copied().filter(|server| self.is_usable(server, zone)).collect();
             let demand = TableDemand { subset, load: share * fleet.listed, usable };
-            plans.push(TablePlan { table: subset, weights: self.plan_weights(&demand, &fleet) });
+            plans.push(self.plan_table(&demand, &fleet));
         }
         plans
     }
@@ -90,9 +124,9 @@
         FleetWeight { listed, utilization: listed / usable.max(1e-9) }
     }
 
-    /// Plans the weights of a table: listed weight × outlier weight × load-limited slow-start ratio.
-    fn plan_weights(&self, demand: &TableDemand, fleet: &FleetWeight) -> BTreeMap<ServerId, f64> {
-        let chosen = self.choose_servers(demand);
+    /// Plans a table. The weights are listed weight × outlier weight × load-limited slow-start ratio.
+    fn plan_table(&self, demand: &TableDemand, fleet: &FleetWeight) -> TablePlan {
+        let ChosenServers { servers: chosen, step } = self.choose_servers(demand);
         let utilization = (demand.load / self.total_weight(&chosen)).max(fleet.utilization);
         let load_per_weight = utilization * self.load.retry_amplification;
         let mut weights = BTreeMap::new();
@@ -110,7 +144,7 @@
         if self.zone_aware && zone_has_subsets && warming_weight > 0.0 {
             self.add_warm_endpoints(demand, warming_weight, &mut weights);
         }
-        weights
+        TablePlan { table: demand.subset, step, weights }
     }
 
     /// The usable servers of the subset. If they do not suffice ([`Policy::needs_spill_over`]), the usable
@@ -120,20 +154,24 @@
     ///
     /// Guards against a table without usable servers, or only with servers in slow start. Cost: requests
     /// cross zones, and in panic mode reach servers that may be unhealthy.
-    fn choose_servers<'a>(&'a self, demand: &TableDemand<'a>) -> Vec<&'a Server> {
+    fn choose_servers<'a>(&'a self, demand: &TableDemand<'a>) -> ChosenServers<'a> {
         let usable = demand.usable.iter().copied();
-        let mut chosen: Vec<&Server> =
+        let mut servers: Vec<&Server> =
             usable.filter(|server| !self.zone_aware || server.subset == demand.subset).collect();
-        if self.needs_spill_over(&chosen, demand.load) {
-            chosen = demand.usable.clone();
+        let mut step = PlanStep::Subset;
+        if self.needs_spill_over(&servers, demand.load) {
+            servers = demand.usable.clone();
+            step = PlanStep::Siblings;
         }
-        if self.needs_spill_over(&chosen, demand.load) {
-            self.spill_over(demand, &mut chosen);
+        if self.needs_spill_over(&servers, demand.load) {
+            self.spill_over(demand, &mut servers);
+            step = PlanStep::SpillOver;
         }
-        if chosen.is_empty() {
-            chosen = self.servers.values().filter(|server| server.is_ready()).collect();
+        if servers.is_empty() {
+            servers = self.servers.values().filter(|server| server.is_ready()).collect();
+            step = PlanStep::Panic;
         }
-        chosen
+        ChosenServers { servers, step }
     }
 
     /// True: there are no servers, or some are in slow start and the load is above [`SPILL_OVER_RATIO`] times
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -11,6 +11,7 @@
 mod outlier_detection;
 mod publish;
 mod retry;
+mod route_gaps;
 mod sharding;
 mod slow_start;
 mod subset;
