Keep a server of their zone in all tables while a class is zone-local

Cause: choose_servers filled a subset without usable servers with its siblings in other zones and took the table as served, as it was not empty.

Change: with a zone-local class, each table contains servers of every zone whose proxies use it (policy/zone_local.rs). A subset takes its zone's other subsets before its siblings; where none of a zone is usable its warm ones stay with little weight; the shared table goes by each server's own zone; servers that replace a zone's last ones are as urgent as the fill of an empty table; a proxy that joins waits for such a table.

--- a/src/policy/connections.rs
+++ b/src/policy/connections.rs
@@ -15,6 +15,7 @@
         self.disconnect_proxy(proxy);
         if !self.has_connected_proxies(zone) {
             self.reset_zone_health(zone);
+            self.tables_outdated |= self.has_zone_local_class();
         }
         let previous = self.proxies.get(&proxy).filter(|known| known.zone == zone).map(|known| known.subset);
         let subset = previous.or(self.least_loaded_subset(zone)).unwrap_or(SHARED_TABLE);
--- a/src/policy/flow_control.rs
+++ b/src/policy/flow_control.rs
@@ -17,8 +17,8 @@
     Routine,
     /// Reacts to a fault, or assigns a table.
     Fault,
-    /// Stops traffic to a server that drains or is removed, ends its ejection at proxies, or fills an empty
-    /// table.
+    /// Stops traffic to a server that drains or is removed, ends its ejection at proxies, fills an empty
+    /// table, or adds the only servers of a zone that a table must serve.
     Critical,
 }
 
--- a/src/policy/locality.rs
+++ b/src/policy/locality.rs
@@ -34,11 +34,10 @@
 }
 
 impl Policy {
-    /// True: servers may be lent to other zones. That requires [`LENDING_DELAY`] since the start and no class
-    /// that is bound to its zone.
+    /// True: servers may be lent. That requires [`LENDING_DELAY`] since the start and no zone-local class.
     pub(super) fn may_lend(&self) -> bool {
         let settled = self.now >= self.started_at + LENDING_DELAY;
-        settled && !self.settings.classes.iter().any(|class| class.zone_local)
+        settled && !self.has_zone_local_class()
     }
 
     /// Switches zone-aware tables on or off, then lends servers to subsets with too little weight for their
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -26,6 +26,7 @@
 mod subset;
 mod table;
 mod table_plan;
+mod zone_local;
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/policy/publish.rs
+++ b/src/policy/publish.rs
@@ -109,18 +109,21 @@
         });
         let sheds_more = admission.iter().any(|(class, new)| new.level < table.sent_admission(*class).level);
         let admission_urgency = if sheds_more { Urgency::Fault } else { Urgency::Routine };
-        TableChanges { weights: self.weight_changes(table, &plan.weights), admission, admission_urgency }
+        TableChanges { weights: self.weight_changes(table, plan), admission, admission_urgency }
     }
 
     /// The changes of weight that bring a table to its plan, removals first.
-    fn weight_changes(&self, table: &Table, plan: &BTreeMap<ServerId, f64>) -> Vec<WeightChange> {
+    fn weight_changes(&self, table: &Table, plan: &TablePlan) -> Vec<WeightChange> {
         let mut changes = Vec::new();
-        for server in table.weights.keys().filter(|server| !plan.contains_key(server)) {
+        for server in table.weights.keys().filter(|server| !plan.weights.contains_key(server)) {
             let urgency = self.removal_urgency(*server);
             changes.push(WeightChange { server: *server, weight: 0.0, urgency });
         }
-        let largest = plan.values().copied().fold(0.0, f64::max);
-        for (server, weight) in plan {
+        let unserved_zones = self.zones_without_kept_server(table, plan);
+        let is_in_unserved_zone =
+            |id| self.servers.get(id).is_some_and(|server| unserved_zones.contains(&server.zone()));
+        let largest = plan.weights.values().copied().fold(0.0, f64::max);
+        for (server, weight) in &plan.weights {
             let old = table.weights.get(server).copied().unwrap_or(0.0);
             // The cut of a small weight may protect its server, even if it is small relative to the largest
             // weight.
@@ -129,7 +132,7 @@
             if old != 0.0 && !is_urgent_cut && !is_large {
                 continue;
             }
-            let urgency = if table.weights.is_empty() {
+            let urgency = if table.weights.is_empty() || is_in_unserved_zone(server) {
                 Urgency::Critical
             } else if is_urgent_cut {
                 Urgency::Fault
@@ -152,13 +155,17 @@
     }
 
     /// Assigns waiting proxies to their tables until flow control permits no more. No proxy is assigned to an
-    /// empty table.
+    /// empty table, or to one that lacks servers for its zone-local classes.
     pub(super) fn assign_tables(&mut self) {
         for proxy in self.unassigned_proxies.clone() {
-            let id = self.table_of(self.proxies[&proxy].subset);
+            let record = &self.proxies[&proxy];
+            let id = self.table_of(record.subset);
             let Some(table) = self.tables.get(&id).filter(|table| !table.weights.is_empty()) else {
                 continue;
             };
+            if self.lacks_local_server(table, record.zone) {
+                continue;
+            }
             let lines = table.weights.len() + table.admission.len() + 1;
             let receiver = BTreeSet::from([proxy]);
             if !self.may_send(Urgency::Fault, 0, &receiver, lines) {
--- a/src/policy/table_plan.rs
+++ b/src/policy/table_plan.rs
@@ -38,7 +38,7 @@
     subset: TableId,
     /// The part of the fleet's load that comes from its proxies, in listed weight.
     load: f64,
-    /// The servers of the subset and its siblings in other zones that its zone's proxies may use.
+    /// The servers of the subset and its siblings in other zones that its proxies may use.
     usable: Vec<&'a Server>,
 }
 
@@ -51,6 +51,8 @@
     /// The usable servers of its own subset; while one table is shared, of the fleet.
     #[default]
     Subset,
+    /// Those of other subsets of its zone, too.
+    OwnZone,
     /// Those of its sibling subsets in other zones, too.
     Siblings,
     /// Those of other subsets, too.
@@ -63,6 +65,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             PlanStep::Subset => "its subset",
+            PlanStep::OwnZone => "its zone",
             PlanStep::Siblings => "its siblings in other zones",
             PlanStep::SpillOver => "other subsets",
             PlanStep::Panic => "the whole list (panic mode)",
@@ -100,9 +103,9 @@
             if self.zone_aware && !self.is_in_use(subset) {
                 continue;
             }
-            let zone = self.zone_of(subset);
             let members = siblings.get(&self.sibling_index(subset)).map_or(&[][..], |members| members);
-            let usable = members.iter().copied().filter(|server| self.is_usable(server, zone)).collect();
+            let is_usable = |server: &&Server| self.is_usable(server, self.judging_zone(server, subset));
+            let usable = members.iter().copied().filter(is_usable).collect();
             let demand = TableDemand { subset, load: share * fleet.listed, usable };
             plans.push(self.plan_table(&demand, &fleet));
         }
@@ -144,13 +147,15 @@
         if self.zone_aware && zone_has_subsets && warming_weight > 0.0 {
             self.add_warm_endpoints(demand, warming_weight, &mut weights);
         }
+        self.add_local_fallback(demand.subset, &mut weights);
         TablePlan { table: demand.subset, step, weights }
     }
 
     /// The usable servers of the subset. If they do not suffice ([`Policy::needs_spill_over`]), the usable
-    /// servers of its siblings in other zones are added, then those of other subsets. If no server is usable,
-    /// the table is in panic mode, as in Envoy: the failed health checks, ejections and warm-up holds that
-    /// exclude servers are ignored, and all ready servers are used.
+    /// servers of its siblings in other zones are added, then those of other subsets. With a zone-local class
+    /// those of its zone's other subsets come first, and siblings only if these do not cover the load. If no
+    /// server is usable, the table is in panic mode, as in Envoy: the failed health checks, ejections and
+    /// warm-up holds that exclude servers are ignored, and all ready servers are used.
     ///
     /// Guards against a table without usable servers, or only with servers in slow start. Cost: requests
     /// cross zones, and in panic mode reach servers that may be unhealthy.
@@ -159,8 +164,14 @@
         let mut servers: Vec<&Server> =
             usable.filter(|server| !self.zone_aware || server.subset == demand.subset).collect();
         let mut step = PlanStep::Subset;
-        if self.needs_spill_over(&servers, demand.load) {
-            servers = demand.usable.clone();
+        let mut needs_siblings = self.needs_spill_over(&servers, demand.load);
+        if needs_siblings && self.has_zone_local_class() {
+            self.spill_over_within_zone(demand, &mut servers);
+            step = PlanStep::OwnZone;
+            needs_siblings = self.total_weight(&servers) < demand.load;
+        }
+        if needs_siblings {
+            add_missing(&mut servers, &demand.usable);
             step = PlanStep::Siblings;
         }
         if self.needs_spill_over(&servers, demand.load) {
@@ -197,15 +208,40 @@
     /// its traffic, whatever its weight. Cost: these tables are long, and requests cross zones.
     fn spill_over<'a>(&'a self, demand: &TableDemand<'a>, chosen: &mut Vec<&'a Server>) {
         let zone = self.zone_of(demand.subset);
-        let already: BTreeSet<ServerId> = chosen.iter().map(|server| server.id()).collect();
-        let usable = self.servers.values().filter(|server| self.is_usable(server, zone));
-        let mut others: Vec<&Server> = usable.filter(|server| !already.contains(&server.id())).collect();
+        let mut others = self.other_usable_servers(demand.subset, chosen);
         let start = usize::from(demand.subset.0) * SPILL_OVER_START_STRIDE % others.len().max(1);
         others.rotate_left(start);
         others.sort_by_key(|server| (self.slow_start_ratio(server) < 1.0, server.zone() != zone));
+        self.add_until_covered(others, demand.load, chosen);
+    }
+
+    /// Adds servers of the other subsets of its zone until the table's weight covers its load, but at least
+    /// one: servers past slow start first. The start in the list differs by subset.
+    ///
+    /// Guards against a table without servers for zone-local classes while its zone has some. Cost: servers
+    /// of other subsets serve more proxies.
+    fn spill_over_within_zone<'a>(&'a self, demand: &TableDemand<'a>, chosen: &mut Vec<&'a Server>) {
+        let zone = self.zone_of(demand.subset);
+        let mut others = self.other_usable_servers(demand.subset, chosen);
+        others.retain(|server| server.zone() == zone);
+        let start = usize::from(self.sibling_index(demand.subset)) % others.len().max(1);
+        others.rotate_left(start);
+        others.sort_by_key(|server| self.slow_start_ratio(server) < 1.0);
+        self.add_until_covered(others, demand.load.max(f64::MIN_POSITIVE), chosen);
+    }
+
+    /// The servers that a table's proxies may use and that are not among `chosen`.
+    fn other_usable_servers<'a>(&'a self, table: TableId, chosen: &[&'a Server]) -> Vec<&'a Server> {
+        let chosen: BTreeSet<ServerId> = chosen.iter().map(|server| server.id()).collect();
+        let others = self.servers.values().filter(|server| !chosen.contains(&server.id()));
+        others.filter(|server| self.is_usable(server, self.judging_zone(server, table))).collect()
+    }
+
+    /// Adds these servers in their order while the weight of `chosen` is below the load.
+    fn add_until_covered<'a>(&self, others: Vec<&'a Server>, load: f64, chosen: &mut Vec<&'a Server>) {
         let mut weight: f64 = chosen.iter().map(|server| self.effective_weight(server)).sum();
         for server in others {
-            if weight >= demand.load {
+            if weight >= load {
                 break;
             }
             weight += self.effective_weight(server);
@@ -213,7 +249,8 @@
         }
     }
 
-    /// Adds warm servers of other zones to a table with warming servers.
+    /// Adds warm servers of other zones to a table with warming servers; with a zone-local class preferably
+    /// of its zone's other subsets.
     ///
     /// Guards against the failure of all warm servers of a small subset at once, after which its warming
     /// servers would get the whole load. Cost: a small part of the traffic crosses zones during releases.
@@ -226,16 +263,39 @@
         let total: f64 = weights.values().sum();
         let share = warming_weight / MAX_ADDED_WARM_ENDPOINTS as f64;
         let weight = share.min(MAX_WARM_ENDPOINT_WEIGHT_RATIO * total);
-        let warm = self.warm_servers_of_other_zones(demand, self.zone_of(demand.subset));
+        let mut warm = self.warm_servers_of_other_subsets(demand);
+        if warm.is_empty() {
+            warm = self.warm_servers_of_other_zones(demand, self.zone_of(demand.subset));
+        }
         let start = usize::from(demand.subset.0);
         for server in warm.iter().cycle().skip(start).take(MAX_ADDED_WARM_ENDPOINTS.min(warm.len())) {
             weights.entry(server.id()).or_insert(weight);
         }
     }
 
+    /// With a zone-local class, the usable warm servers of its zone's other subsets: others may not serve
+    /// that class. Without such a class none.
+    fn warm_servers_of_other_subsets(&self, demand: &TableDemand) -> Vec<&Server> {
+        if !self.has_zone_local_class() {
+            return Vec::new();
+        }
+        let zone = self.zone_of(demand.subset);
+        let others = self.servers.values().filter(|server| server.subset != demand.subset);
+        let usable = others.filter(|server| server.zone() == zone && self.is_usable(server, zone));
+        usable.filter(|server| !self.is_warming_up(server)).collect()
+    }
+
     /// The usable servers of the subset and its siblings that run in other zones and are warm.
     fn warm_servers_of_other_zones<'a>(&self, demand: &TableDemand<'a>, zone: ZoneId) -> Vec<&'a Server> {
         let others = demand.usable.iter().copied().filter(|server| server.zone() != zone);
         others.filter(|server| !self.is_warming_up(server)).collect()
     }
 }
+
+/// Adds the servers of `usable` that are missing in `servers`.
+fn add_missing<'a>(servers: &mut Vec<&'a Server>, usable: &[&'a Server]) {
+    let mut all = usable.to_vec();
+    let known: BTreeSet<ServerId> = usable.iter().map(|server| server.id()).collect();
+    all.extend(servers.iter().filter(|server| !known.contains(&server.id())));
+    *servers = all;
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -239,15 +239,17 @@
     actions.iter().filter(|a| wanted(a)).count()
 }
 
-/// A harness with 30 warm servers and this many proxies, spread evenly over three zones. Servers accept 20
-/// connections.
+/// [`harness_with_subsets_of`] with the usual settings and this many proxies.
 pub(crate) fn harness_with_subsets(proxies: u16) -> Harness {
-    let mut harness = Harness::new(Settings {
-        proxy_count: u32::from(proxies),
-        min_server_connections: 20.0,
-        max_pending_lines: 200_000.0,
-        ..settings()
-    });
+    harness_with_subsets_of(Settings { proxy_count: u32::from(proxies), ..settings() })
+}
+
+/// A harness with 30 warm servers and as many proxies as the settings name, spread evenly over three zones.
+/// Servers accept 20 connections.
+pub(crate) fn harness_with_subsets_of(set: Settings) -> Harness {
+    let proxies = set.proxy_count as u16;
+    let mut harness =
+        Harness::new(Settings { min_server_connections: 20.0, max_pending_lines: 200_000.0, ..set });
     let entries: Vec<_> = (0..30).map(|n| endpoint(n, u16::from(n % 3))).collect();
     let mut events = vec![endpoint_list(ListUpdate::Cached, &entries)];
     events.extend((0..proxies).map(|p| proxy_connected(p, p % 3)));
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -16,3 +16,4 @@
 mod slow_start;
 mod subset;
 mod table_plan;
+mod zone_local;
