Give a shard a server in each zone while a class is zone-local

Callers would see every request of a zone-local class refused in all zones but one: a shard had one server, and proxies of all zones use its table. No step of assign_shards looked at zone_local.

Change: with such a class a shard gets one server of each zone. A shard with a single writer stays with one server in any case, so proxies of other zones still have none for such a class there (docs/ROADMAP.md).

Without such a class the groups are one group, and the choice is as before.

--- a/src/policy/sharding.rs
+++ b/src/policy/sharding.rs
@@ -1,7 +1,10 @@
 //! Sharded deployments: which server each shard is assigned to.
 
+use std::collections::BTreeSet;
+
 use super::Policy;
-use crate::interface::{Action, Micros, ServerId, TableId};
+use super::server::Server;
+use crate::interface::{Action, Micros, ServerId, TableId, ZoneId};
 
 /// A shard whose table this instance owns.
 pub(super) struct Shard {
@@ -21,32 +24,51 @@
         }
     }
 
-    /// Assigns a server to each owned shard. The shard keeps it until the server drains or is removed. A
-    /// shard with a single writer then waits for [`Policy::handover_delay`]. Shards are not balanced by their
-    /// load.
+    /// Assigns a server of each [group](Policy::shard_candidates) to each owned shard. The shard keeps it
+    /// until the server drains or is removed. A shard with a single writer then waits for
+    /// [`Policy::handover_delay`]. Shards are not balanced by their load.
     pub(super) fn assign_shards(&mut self) {
-        let ready = self.ready_servers();
+        let groups = self.shard_candidates();
+        let is_ready = |server: &ServerId| groups.iter().any(|group| group.contains(server));
         let handover_delay = self.handover_delay();
         for (id, shard) in &mut self.shards {
             let weights = &mut self.tables.entry(*id).or_default().weights;
-            for (server, _) in weights.extract_if(.., |server, _| !ready.contains(server)) {
+            for (server, _) in weights.extract_if(.., |server, _| !is_ready(server)) {
                 shard.unassigned_since = self.now;
                 self.actions.push(Action::SetWeight { table: *id, server, weight: 0.0 });
             }
-            if !weights.is_empty() || self.now < shard.unassigned_since + handover_delay {
+            if self.now < shard.unassigned_since + handover_delay {
                 continue;
             }
-            let index = usize::from(id.0) % ready.len().max(1);
-            if let Some(server) = ready.get(index) {
-                weights.insert(*server, 1.0);
-                self.actions.push(Action::SetWeight { table: *id, server: *server, weight: 1.0 });
+            for group in &groups {
+                if group.iter().any(|server| weights.contains_key(server)) {
+                    continue;
+                }
+                let index = usize::from(id.0) % group.len().max(1);
+                if let Some(server) = group.get(index) {
+                    weights.insert(*server, 1.0);
+                    self.actions.push(Action::SetWeight { table: *id, server: *server, weight: 1.0 });
+                }
             }
         }
     }
 
-    /// Ready servers, healthy ones first.
-    fn ready_servers(&self) -> Vec<ServerId> {
-        let ready = self.servers.values().filter(|server| server.is_ready());
+    /// The groups of ready servers of which a shard gets one each: all of them as one group; with a
+    /// zone-local class one group for each zone, as all proxies use a shard's table.
+    ///
+    /// A shard with a single writer gets one server in any case. Proxies of other zones then have none for a
+    /// zone-local class.
+    fn shard_candidates(&self) -> Vec<Vec<ServerId>> {
+        if self.settings.single_writer || !self.has_zone_local_class() {
+            return vec![self.ready_servers(|_| true)];
+        }
+        let zones: BTreeSet<ZoneId> = self.servers.values().map(Server::zone).collect();
+        zones.into_iter().map(|zone| self.ready_servers(|server| server.zone() == zone)).collect()
+    }
+
+    /// Ready servers among these, healthy ones first.
+    fn ready_servers(&self, among: impl Fn(&Server) -> bool) -> Vec<ServerId> {
+        let ready = self.servers.values().filter(|server| server.is_ready() && among(server));
         let (unhealthy, mut servers): (Vec<_>, Vec<_>) =
             ready.partition(|server| server.health.is_unhealthy());
         servers.extend(unhealthy);
--- a/tests/policy/sharding.rs
+++ b/tests/policy/sharding.rs
@@ -49,3 +49,26 @@
     assert_eq!(count(&harness.run_for(3 * SECOND, |_| Vec::new()), placed), 0);
     assert_eq!(count(&harness.run_for(SECOND, |_| Vec::new()), placed), 1);
 }
+
+/// Guards against proxies without a server for a zone-local class: a shard had one server, in one zone, while
+/// proxies of all zones use its table.
+#[test]
+fn shard_with_a_zone_local_class_has_a_server_in_each_zone() {
+    let mut set = Settings { shard_count: 4, ..settings() };
+    set.classes[0].zone_local = true;
+    let mut harness = Harness::new(set);
+    let entries: Vec<_> = (0..6).map(|n| endpoint(n, u16::from(n % 3))).collect();
+    let shard = TableId(1);
+    harness.decide(&[
+        endpoint_list(ListUpdate::Cached, &entries),
+        Event::ShardAssignment { shard, granted: true },
+        Event::StoredWeight { shard, server: server_id(0), weight: 1.0 },
+    ]);
+    let zones = |harness: &Harness| -> Vec<u8> {
+        harness.tables[&shard].keys().filter(|id| id.0[3] != 0).map(|id| id.0[3] % 3).collect()
+    };
+    assert_eq!(zones(&harness), [1, 2], "beside the stored server of zone 0");
+    let drain = Endpoint { state: EndpointState::Draining, ..endpoint(0, 0) };
+    harness.decide(&[endpoint_list(ListUpdate::Delta, &[drain])]);
+    assert_eq!(harness.tables[&shard].get(&server_id(3)), Some(&1.0), "the other server of zone 0");
+}
