--- a/crates/stepspur-emulator/src/replay.rs
+++ b/crates/stepspur-emulator/src/replay.rs
@@ -5,10 +5,11 @@
 //! none is dropped silently. Servers and proxies are thinned evenly, and the request rate in proportion, so
 //! that the load per server stays as drawn. Times in day files are in microseconds unless noted.
 
+mod day_file;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Deserialize;
 use stepspur_conductor::config::{
     AdmissionModeConfig, ClassConfig, DedupScopeConfig, Fleet, IdempotencyConfig,
 };
@@ -16,6 +17,7 @@
 use stepspur_model::{proxy, server};
 use stepspur_proto::v1;
 
+use self::day_file::{Day, DayClass, DayFault, DayKind, DayServer, DayStep, Tier};
 use crate::plan::{
     ClassPlan, Clients, FalseReport, FaultAction, Plan, ProxyPlan, Rules, ScheduledFault, ServerPlan, Step,
 };
@@ -53,215 +55,6 @@
     pub left_out_by_sockets: Vec<String>,
 }
 
-/// A day file. Field names are those of the file, which the simulator defines; fields without use here are
-/// not read.
-#[derive(Debug, Deserialize)]
-struct Day {
-    site: String,
-    kind: String,
-    /// Seed of all random choices.
-    noise: u64,
-    length: f64,
-    zones: Vec<String>,
-    traffic: Traffic,
-    clients: DayClients,
-    discovery: Discovery,
-    drain_grace: f64,
-    fall_multiple: f64,
-    fall_for: f64,
-    #[serde(default)]
-    full_may_have_run: bool,
-    #[serde(default)]
-    only_draining_binds: bool,
-    classes: Vec<DayClass>,
-    tiers: Vec<Tier>,
-    servers: Vec<DayServer>,
-    balancers: Vec<Balancer>,
-    troubles: Vec<DayFault>,
-    /// Parameters of the channel, the proxies and the conductors.
-    fam: Family,
-}
-
-/// Traffic of a day; `load` is the share of the capacity of the running servers that requests use.
-#[derive(Debug, Deserialize)]
-struct Traffic {
-    load: f64,
-    shape: Vec<(f64, f64)>,
-    zone_share: Vec<f64>,
-    #[serde(default)]
-    keys: u64,
-    #[serde(default)]
-    key_zipf: f64,
-}
-
-/// Retries of clients; `backoff` is "none" or a fixed wait of `backoff_us`.
-#[derive(Debug, Deserialize)]
-struct DayClients {
-    retries: u32,
-    try_share: f64,
-    backoff: String,
-    #[serde(default)]
-    backoff_us: f64,
-}
-
-/// The node list.
-#[derive(Debug, Deserialize)]
-struct Discovery {
-    /// Delay with which the node list shows changes.
-    notice: f64,
-}
-
-/// A class of requests.
-#[derive(Debug, Deserialize)]
-struct DayClass {
-    name: String,
-    share: f64,
-    work: f64,
-    cv: f64,
-    aim: f64,
-    deadline: f64,
-    worth: f64,
-    #[serde(default)]
-    late_worth: f64,
-    /// "safe", "keyed" or another value for requests that must not run twice.
-    effect: String,
-    #[serde(default)]
-    /// Group that deduplicates keyed requests: "zone", "cell" or another value for all servers.
-    group: String,
-    #[serde(default)]
-    window: f64,
-}
-
-/// A tier of servers with its kinds.
-#[derive(Debug, Deserialize)]
-struct Tier {
-    kinds: Vec<DayKind>,
-    /// Work of a new connection, in microseconds of a core of speed 1.
-    #[serde(default)]
-    handshake_work: f64,
-    /// Work of a load probe, in the same unit.
-    #[serde(default)]
-    probe_work: f64,
-    conn_cap_per_core: f64,
-    report_period: f64,
-    /// Share of the capacity at the start that conductors are configured with.
-    stated_cold_from: f64,
-    /// Time until a server is warm that conductors are configured with.
-    stated_cold: f64,
-}
-
-/// A kind of servers; see `server::Spec` for the parameters of the same name.
-#[derive(Debug, Deserialize)]
-struct DayKind {
-    cores: u32,
-    slots: u32,
-    queue: u32,
-    thrash: f64,
-    knee: f64,
-    cold_from: f64,
-    cold: f64,
-    #[serde(default)]
-    error_rate: f64,
-    /// Which requests a cancel ends: "none", "all" or another value for queued ones.
-    cancel: String,
-}
-
-/// A server; `tier`, `zone` and `kind` are indices, `kind` within the tier.
-#[derive(Debug, Deserialize)]
-struct DayServer {
-    tier: usize,
-    zone: usize,
-    kind: usize,
-    speed: f64,
-    weight: f64,
-    /// True if it runs from the start.
-    up: bool,
-}
-
-/// A proxy.
-#[derive(Debug, Deserialize)]
-struct Balancer {
-    zone: usize,
-    weight: f64,
-}
-
-/// A fault. The meaning of `size`, `extra` and `which` depends on its kind: see
-/// [`PlanBuilder::convert_fault`].
-#[derive(Debug, Deserialize)]
-struct DayFault {
-    kind: String,
-    at: f64,
-    /// Duration.
-    len: f64,
-    size: f64,
-    extra: f64,
-    /// Indices of the servers that it affects.
-    #[serde(default)]
-    on: Vec<usize>,
-    #[serde(default)]
-    which: usize,
-    /// Steps of a release or of growth.
-    #[serde(default)]
-    steps: Vec<DayStep>,
-    /// Variant of the kind; `None` for the usual one.
-    #[serde(default)]
-    how: Option<String>,
-}
-
-/// A step of a release; `at` counts from the start of the day, `stop` and `start` hold indices of servers.
-#[derive(Debug, Deserialize)]
-struct DayStep {
-    at: f64,
-    stop: Vec<usize>,
-    start: Vec<usize>,
-}
-
-/// Parameters of the channel, the proxies and the conductors.
-#[derive(Debug, Deserialize)]
-struct Family {
-    /// Unit of admission levels: "rate" (requests per second) or another value for shares.
-    admit: String,
-    #[serde(default)]
-    affinity_gain: f64,
-    /// Time span of key affinity, in seconds.
-    #[serde(default)]
-    affinity_s: f64,
-    /// Maximum number of lines that wait in the channel.
-    backlog: f64,
-    /// Maximum time that a connected proxy may be without a server.
-    bare: f64,
-    /// Zone of each conductor.
-    controllers: Vec<u32>,
-    /// Time for which a proxy avoids a server after `ejects` consecutive failures.
-    eject: f64,
-    ejects: u32,
-    /// Lines that the head of a message counts as.
-    head: f64,
-    /// Constant delay of reports.
-    heard_late: f64,
-    /// Reports per second that a conductor accepts.
-    intake: f64,
-    /// A quarter of the maximum transit time of an order.
-    late: f64,
-    /// Maximum number of orders per proxy and window; 0 means unlimited.
-    messages_most: u32,
-    /// Interval of reports.
-    period: f64,
-    /// How proxies pick a server: "round", "two" or another value for a weighted random choice.
-    pick: String,
-    /// Lines per second of the channel.
-    rate: f64,
-    /// Wait before a broken stream is dialled again.
-    redial: f64,
-    /// Not supported above 0.
-    slices: u32,
-    /// Maximum number of servers in a standing table.
-    standing: usize,
-    /// The usual resend policy, as the number of a `v1::Resend`.
-    #[serde(default)]
-    usual_how: i32,
-}
-
 /// Reads a day file. Without a scale, uses the largest one that a small machine can run.
 ///
 /// # Errors
--- a/src/policy/subset.rs
+++ b/src/policy/subset.rs
@@ -145,7 +145,7 @@
         largest_deficit.unwrap_or(SHARED_TABLE)
     }
 
-    /// /// The zone with the largest deficit among those with connected proxies, if that exceeds the own
+    /// The zone with the largest deficit among those with connected proxies, if that exceeds the own
     /// zone's deficit by more than [`OTHER_ZONE_MARGIN_WEIGHT`]; else the own zone.
     fn largest_deficit_zone(&self, own_zone: ZoneId, weights: &SubsetWeights) -> ZoneId {
         let surplus = |zone: ZoneId| self.subsets_of(zone).map(|subset| weights.surplus(subset)).sum::<f64>();
