--- a/src/policy/zone_local.rs
+++ b/src/policy/zone_local.rs
@@ -65,10 +65,15 @@
     /// The zones of which a table, as published, contains no server that its plan keeps. Their servers must
     /// be added with the removals, not after them.
     pub(super) fn zones_without_kept_server(&self, table: &Table, plan: &TablePlan) -> BTreeSet<ZoneId> {
+        let mut unserved: BTreeSet<ZoneId> = self.zones_to_serve(plan.table).into_iter().collect();
+        if unserved.is_empty() {
+            return unserved;
+        }
         let kept = table.weights.keys().filter(|server| plan.weights.contains_key(server));
-        let kept_zones: BTreeSet<ZoneId> =
-            kept.filter_map(|server| self.servers.get(server)).map(Server::zone).collect();
-        self.zones_to_serve(plan.table).into_iter().filter(|zone| !kept_zones.contains(zone)).collect()
+        for server in kept.filter_map(|server| self.servers.get(server)) {
+            unserved.remove(&server.zone());
+        }
+        unserved
     }
 
     /// True: a class is zone-local, and the table as published contains no server of the zone, though a warm
