--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -307,6 +307,7 @@
         self.conductor = self.writer = None
         self.last_sent_at = -1.0  # when the newest message that it has applied had arrived at the platform
         self.last_delivery = 0.0
+        self.on_the_way = deque()
         self.failures, self.avoided, self.tokens = {}, {}, {}
         self.came = {}  # class -> [requests, not served]
         self.met = {}  # node -> [tries, failed, sum of the others' times]
@@ -335,7 +336,8 @@
                 sent_at = self.fleet.now()
                 lines = self.fleet.settings["familyInfo"]["perMessage"] + sum(map(line_count, message))
                 self.last_delivery = max(self.last_delivery, self.conductor.delivery_time(lines))
-                self.fleet.at(self.last_delivery, self.apply, message, sent_at, writer)
+                self.on_the_way.append((message, sent_at, writer))
+                self.fleet.at(self.last_delivery, self.apply_next)
         except (OSError, ValueError) as error:
             self.fleet.record.write(f"proxy {self.number}: {error!r}")
         if self.writer is writer:
@@ -343,9 +345,11 @@
             self.fleet.record.write(f"proxy {self.number}: its stream ended")
         writer.close()
 
-    def apply(self, message, sent_at, writer):
+    def apply_next(self):
+        """Applies the message that has been on the way longest: messages reach a proxy in order."""
+        message, sent_at, writer = self.on_the_way.popleft()
         if self.writer is not writer:
-            return
+            return  # messages on their way are lost with the stream
         for part in message:
             if part.get("full"):
                 self.lines, self.levels = {}, {}
