--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,6 @@
-"""Case 6: a rolling deploy, zone by zone, while one class stays within the proxy's zone."""
+"""Case 6: a rolling deploy, the smaller kind of nodes first."""
 
 import asyncio
-import copy
 import sys
 from pathlib import Path
 
@@ -12,19 +11,19 @@
 import fleet as stand_ins  # noqa: E402
 import hobart  # noqa: E402
 
-# The deploy replaces 17 of 18 nodes (94%), 3 (16.7%) at a time, within 29 s: 6 steps of 5 s, the last of 4 s.
-REPLACED, AT_A_TIME, FIRST_S, STEP_S, DRAIN_S = 17, 3, 10.0, 5.0, 4.0
+# The deploy replaces 17 of 18 nodes (94%) within 23 s: 6 steps of 3.8 s. A node drains for 3.6 s, so that no more than 3
+# (16.7%) drain at once.
+REPLACED, AT_A_TIME, FIRST_S, STEP_S, DRAIN_S = 17, 3, 10.0, 3.8, 3.6
 LENGTH_S = 45.0
 
 
 async def run(record, trouble):
-    settings = copy.deepcopy(hobart.SETTINGS)
-    settings["familyInfo"]["classOwnZone"] = [True, False]
-    fleet = hobart.build(stand_ins, record, settings, seed=6)
+    fleet = hobart.build(stand_ins, record, hobart.SETTINGS, seed=6, mean_work=0.3, try_share=0.4)
     try:
         await fleet.start()
         if trouble:
-            fleet.deploy(list(fleet.nodes.values())[:REPLACED], AT_A_TIME, FIRST_S, STEP_S, DRAIN_S)
+            nodes = sorted(fleet.nodes.values(), key=lambda node: node.cores)
+            fleet.deploy(nodes[:REPLACED], AT_A_TIME, FIRST_S, STEP_S, DRAIN_S)
         await asyncio.sleep(LENGTH_S - fleet.now())
         fleet.arriving = False
         fleet.check_sound()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
-"""Case 7: a traffic jump during a rolling deploy."""
+"""Case 7: a rolling deploy, zone by zone, while one class stays within the proxy's zone."""
 
 import asyncio
+import copy
 import sys
 from pathlib import Path
 
@@ -11,23 +12,19 @@
 import fleet as stand_ins  # noqa: E402
 import hobart  # noqa: E402
 
-# The deploy replaces 17 of 18 nodes (94%), 3 (16.7%) at a time, within 26 s: 6 steps of 4.4 s, the last of 4 s.
-REPLACED, AT_A_TIME, FIRST_S, STEP_S, DRAIN_S = 17, 3, 10.0, 4.4, 4.0
-# Traffic jumps to 1.8 times the usual for 9 s.
-JUMP_AT_S, JUMP, JUMP_LENGTH_S = 20.0, 1.8, 9.0
+# The deploy replaces 17 of 18 nodes (94%), 3 (16.7%) at a time, within 29 s: 6 steps of 5 s, the last of 4 s.
+REPLACED, AT_A_TIME, FIRST_S, STEP_S, DRAIN_S = 17, 3, 10.0, 5.0, 4.0
 LENGTH_S = 45.0
 
 
 async def run(record, trouble):
-    fleet = hobart.build(stand_ins, record, hobart.SETTINGS, seed=7, try_share=0.4)
+    settings = copy.deepcopy(hobart.SETTINGS)
+    settings["familyInfo"]["classOwnZone"] = [True, False]
+    fleet = hobart.build(stand_ins, record, settings, seed=7)
     try:
         await fleet.start()
         if trouble:
-            nodes = list(fleet.nodes.values())
-            fleet.random.shuffle(nodes)
-            fleet.deploy(nodes[:REPLACED], AT_A_TIME, FIRST_S, STEP_S, DRAIN_S)
-            fleet.at(JUMP_AT_S, setattr, fleet, "traffic", JUMP)
-            fleet.at(JUMP_AT_S + JUMP_LENGTH_S, setattr, fleet, "traffic", 1.0)
+            fleet.deploy(list(fleet.nodes.values())[:REPLACED], AT_A_TIME, FIRST_S, STEP_S, DRAIN_S)
         await asyncio.sleep(LENGTH_S - fleet.now())
         fleet.arriving = False
         fleet.check_sound()
