--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,7 +17,7 @@
 # A proxy dials again within 0.54 to 1.9 s, and reads the store within a second of joining.
 REDIAL_S, READ_S = (0.6, 0.8, 1.0, 1.9), (0.3, 0.3, 0.3, 1.0)
 # A write is over within `inFlightMaxUs`, 3.02 s.
-WRITE_S, WRITE_EVERY_S = (1.0, 2.9), 0.25
+WRITE_S, WRITE_EVERY_S = (2.0, 2.9), 0.25
 
 
 async def run(record, trouble):
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -124,6 +124,7 @@
             if request.ended:
                 continue  # a cancel or time-out drops waiting work
             self.busy += 1
+            self.fleet.record.write(f"request {request.number}: {self.name} runs it")
             duration = request.work / self.speed / self.capacity_ratio(self.fleet.now())
             self.fleet.later(duration, self.finish, answer, starts, duration)
 
@@ -429,8 +430,8 @@
 class Request:
     """One try of a client at its proxy."""
 
-    def __init__(self, request_class, work):
-        self.request_class, self.work, self.ended = request_class, work, False
+    def __init__(self, number, request_class, work):
+        self.number, self.request_class, self.work, self.ended = number, request_class, work, False
 
 
 class Fleet:
@@ -450,6 +451,7 @@
         self.tasks, self.servers, self.collectors = [], [], {}
         self.counts = {"asked": 0, "answered": 0, "in time": 0, "lost": 0, "without a route": 0, "tries": 0}
         self.fallen = []
+        self.request_count = 0
         self.lag = 0.0
         self.folder = None
         self.arriving = True
@@ -480,7 +482,8 @@
             self.counts["lost"] += 1
             return
         work = self.random.lognormvariate(math.log(request_class.work) - 0.125, 0.5)
-        request = Request(request_class, work)
+        self.request_count += 1
+        request = Request(self.request_count, request_class, work)
         came = proxy.came.setdefault(request_class.name, [0, 0])
         came[0] += 1
 
@@ -488,6 +491,7 @@
             if request.ended:
                 return
             request.ended = True
+            self.record.write(f"request {request.number}: the client's try ends: {result}")
             if result == "ok":
                 self.counts["answered"] += 1
                 self.counts["in time"] += self.now() - asked_at <= request_class.aim
@@ -516,11 +520,14 @@
         met[0] += 1
         self.counts["tries"] += 1
         state = {"open": True}
+        self.record.write(f"request {request.number}: proxy {proxy.number} sends it, {request.request_class.name} of "
+                          f"{request.work:.2f} core seconds, to {name}")
 
         def answer(result):
             if not state["open"]:
                 return
             state["open"] = False
+            self.record.write(f"request {request.number}: {name} answers proxy {proxy.number}: {result}")
             if result == "ok":
                 met[2] += self.now() - sent_at
                 proxy.failures[name] = 0
--- a/review/standins-2/simulator.py
+++ b/review/standins-2/simulator.py
@@ -243,7 +243,12 @@
                                f"after node {taken[-1]} has taken one")
         writes = self.in_hand.setdefault((number, node), [])
         writes.append(now)
-        self.later(self.random.uniform(*self.write_s), writes.remove, now)
+        self.record.write(f"write {self.writes}: proxy {proxy.number} sends it for slice {number} to node {node}")
+        self.later(self.random.uniform(*self.write_s), self.end_write, self.writes, writes, now)
+
+    def end_write(self, write, writes, taken_at):
+        writes.remove(taken_at)
+        self.record.write(f"write {write}: it has run, and is answered")
 
     # The clock.
 
