--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -317,6 +317,7 @@
         self.last_sent_at = -1.0  # when the newest message that it has applied had arrived at the platform
         self.last_delivery = 0.0
         self.on_the_way = deque()
+        self.credits = {}  # of the wheel, by node
         self.failures, self.avoided, self.tokens = {}, {}, {}
         self.came = {}  # class -> [requests, not served]
         self.met = {}  # node -> [tries, failed, sum of the others' times]
@@ -395,13 +396,20 @@
         return tokens >= 1.0
 
     def pick(self, request_class, but):
-        """A line by weight. Nodes at which five of its tries in a row failed are avoided if others are left."""
+        """A line, evenly by weight (`pick`: `wheel`): each line gains its weight, and the one with most pays for all.
+
+        Nodes at which five of its tries in a row failed are avoided if others are left.
+        """
         lines = self.open_lines(request_class, but)
         now = self.fleet.now()
         near = [line for line in lines if self.avoided.get(line[0], 0.0) <= now] or lines
         if not near:
             return None
-        return self.fleet.random.choices([n for n, _ in near], [w for _, w in near])[0]
+        credits = {name: self.credits.get(name, 0.0) + weight for name, weight in near}
+        picked = max(credits, key=credits.get)
+        credits[picked] -= sum(weight for _, weight in near)
+        self.credits = {**{name: self.credits.get(name, 0.0) for name in self.lines}, **credits}
+        return picked
 
     def report(self):
         span = self.fleet.settings["familyInfo"]["intervalUs"] / 1000.0
@@ -497,7 +505,7 @@
                 self.counts["in time"] += self.now() - asked_at <= request_class.aim
                 return
             came[1] += 1
-            refused = result in ("level", "no route", "refused", "unreachable")
+            refused = result in ("level", "no route", "refused")
             if number < self.retries and (refused or request_class.may_repeat):
                 self.later(self.wait, self.try_of_client, proxy, request_class, asked_at, number + 1)
             else:
@@ -695,11 +703,19 @@
         return probe.getsockname()[1]
 
 
+def end_early(number, _):
+    raise CannotRun(f"ended by signal {number}")
+
+
 def main(folder, run):
     """Runs a case: `run(record, trouble)` is a coroutine that returns true if the rule was broken."""
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say("with the disruption" if trouble else "without the disruption")
+    # Ends the run, with all that it started, if it lasts too long or is told to end.
+    for number in (signal.SIGALRM, signal.SIGTERM):
+        signal.signal(number, end_early)
+    signal.alarm(115)
     try:
         broken = asyncio.run(asyncio.wait_for(run(record, trouble), 110.0))
         record.say("the rule was broken" if broken else "the rule held")
