End the review's scripts by SystemExit, which an event loop passes on

Cause: an exception raised by a signal's handler inside a callback was logged by the event loop, and the run went on. Change: the handler raises SystemExit with 2.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -704,7 +704,8 @@
 
 
 def end_early(number, _):
-    raise CannotRun(f"ended by signal {number}")
+    print(f"the case could not run: ended by signal {number}", flush=True)
+    raise SystemExit(2)  # an event loop passes this on
 
 
 def main(folder, run):
