--- a/review/9/case.py
+++ b/review/9/case.py
@@ -6,7 +6,7 @@
 import tempfile
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "standins-3"))
+sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
 from small_platform import Proxy, World  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -15,8 +15,8 @@
 RECORD = os.environ.get("RECORD", os.path.join(FOLDER, "record.txt"))
 ZONES = ["hobart", "kingston", "sorell"]
 NODES, PROXIES = 18, 9
-LOAD = 0.55  # of the capacity; the site's days with trouble have 0.52 to 0.68
-BATCH, BATCHES, EVERY_S, DRAIN_S = 3, 6, 5.5, 3.6  # 17 of 18 nodes within 32 s, 3 (17%) at a time
+LOAD = 0.53  # of the capacity; the site's days with trouble have 0.52 to 0.68
+BATCH, BATCHES, EVERY_S, DRAIN_S = 3, 6, 6.2, 3.6  # 17 of 18 nodes within 35 s, 3 (17%) at a time
 
 CFG = {
     "zones": ZONES,
@@ -29,8 +29,8 @@
     "admit": "rps", "standing": 10, "lines_per_s": 20000, "head": 6, "pending_max": 30200, "late_s": 0.2,
     "period_s": 2.0, "report_late_s": (0.36, 1.4), "min_conn_cap": 86, "outlier_after": 5,
     "avoid_s": (2.1, 7.7), "pick": "wheel", "proxies": PROXIES, "pushes_allowed": 0, "unserved_s": 2.4,
-    "usual_how": 0, "columns": ["q", "lat_ms"], "feedback": "pull", "cold_s": 18.0, "warm_s": 18.0,
-    "start_capacity": 0.3, "grace_s": 2.0, "fall_multiple": 3.0, "fall_s": 3.0, "redial_s": (0.54, 1.9),
+    "usual_how": 0, "full_may_have_run": True, "columns": ["q", "lat_ms"], "feedback": "pull",
+    "cold_s": 18.0, "warm_s": 18.0, "start_capacity": 0.3, "grace_s": 2.0, "fall_multiple": 3.0, "fall_s": 3.0, "redial_s": (0.54, 1.9),
     "client_retries": 3, "backoff_s": 0.3, "discovery_period_s": 0.3, "list_drain_s": 0.8, "list_add_s": 1.0,
 }
 
@@ -89,7 +89,7 @@
         world.record.say(f"the most that a cold node was sent: {most:.2f} times its present capacity; limit 3")
         for at, name, ratio, knowing in world.fallen:
             world.record.say(f"BROKEN: {name} fell over at {at:.1f} s: {ratio:.2f} times its present capacity "
-                             f"over 3 s, {knowing:.0%} of it sent in knowledge of its start")
+                             f"over 3.3 s, {knowing:.0%} of it sent in knowledge of its start")
         if not world.broken:
             code = 1 if world.fallen else 0
     except (asyncio.TimeoutError, OSError, RuntimeError) as error:
