Log what a warming server is to get from all tables, against its present capacity

Two hypotheses fit the log of before: the plans send them too much, or the plans are sound and proxies that avoid failing servers do. Nothing logged what a warming server is to get over all tables and classes. No decision changes.

--- a/src/policy/eligibility.rs
+++ b/src/policy/eligibility.rs
@@ -27,6 +27,11 @@
         self.slow_start_ratio(server) * server.endpoint.weight * server.outlier_weight
     }
 
+    /// Sum of the listed weights of all ready servers.
+    pub(super) fn ready_weight(&self) -> f64 {
+        self.servers.values().filter(|server| server.is_ready()).map(|server| server.endpoint.weight).sum()
+    }
+
     /// The effective weight if the zone of the server's subset may use it, else 0.
     pub(super) fn usable_weight(&self, server: &Server) -> f64 {
         if self.is_usable(server, self.zone_of(server.subset)) { self.effective_weight(server) } else { 0.0 }
--- a/src/policy/load.rs
+++ b/src/policy/load.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use super::goodput::Goodput;
 use super::median::{Weighted, weighted_median};
 use super::server::{AttemptCounts, QueueReport, Server, ZoneStats};
 use super::{Policy, ROUND_PERIOD};
@@ -37,12 +38,12 @@
 /// Weight of one report in the moving average of the time that reports cover.
 const REPORT_PERIOD_GAIN: f64 = 0.05;
 /// Lower bound of the time that a report is assumed to cover, in microseconds.
-const MIN_REPORT_PERIOD: Micros = 1_000_000;
+pub(super) const MIN_REPORT_PERIOD: Micros = 1_000_000;
 /// How long reports are assumed to be late after a gap in them.
 const LATE_REPORTS_DURATION: Micros = 10_000_000;
 
-/// Part by which the peak goodput decays in the time that two reports cover.
-const PEAK_GOODPUT_DECAY_RATIO: f64 = 0.05;
+/// Time in which the recent weight of the ready servers decays to the present one, in microseconds.
+const READY_WEIGHT_TIME_CONSTANT_MICROS: f64 = 60_000_000.0;
 
 /// Lower bound of the attempts for each successful one, while the fleet is recovered; else
 /// [`MAX_RETRY_AMPLIFICATION`] is the lower bound too. It is above 1 because reports show congestion late.
@@ -73,6 +74,11 @@
     /// Attempts for each successful one, within bounds, times the surge factor: the request rate as a
     /// multiple of [`SURGE_RATIO`] times its mean, at least 1. The surge factor has no upper bound.
     pub(super) retry_amplification: f64,
+    /// Requests per second that reach the proxies, clients' retries included, as a multiple of the usual
+    /// rate: from 1 to [`MAX_RETRY_AMPLIFICATION`].
+    pub(super) arrival_ratio: f64,
+    /// Listed weight of all ready servers: its recent maximum, which decays to the present value.
+    pub(super) recent_ready_weight: f64,
     /// Until this time the latency ratio may be outdated, as there was a gap in reports.
     pub(super) late_reports_until: Micros,
     /// Usual requests per second of each class at connected proxies: the mean of reports from times without
@@ -90,20 +96,6 @@
     mean_report_period_micros: f64,
 }
 
-/// Rate of successful attempts, with its peak.
-#[derive(Default)]
-pub(super) struct Goodput {
-    /// Smoothed rate, per second. It starts at 0, so that it is too low until a smoothing window has passed:
-    /// twice the mean time that a report covers, at least twice [`MIN_REPORT_PERIOD`].
-    pub(super) per_second: f64,
-    /// Decaying peak of the rate, per second, corrected for the start at 0.
-    pub(super) peak_per_second: f64,
-    /// Successful attempts reported since the last round.
-    successes: f64,
-    /// The part of the smoothing window with observations, from 0 at the start to 1.
-    observed_window_ratio: f64,
-}
-
 /// The attempts of one zone's proxies at one server in one report.
 pub(super) struct UpstreamReport {
     pub(super) server: ServerId,
@@ -137,6 +129,8 @@
             attempts: 0.0,
             errors: 0.0,
             retry_amplification: MIN_RETRY_AMPLIFICATION,
+            arrival_ratio: 1.0,
+            recent_ready_weight: 0.0,
             late_reports_until: 0,
             class_rates: Vec::new(),
             responses_carry_load: false,
@@ -199,19 +193,19 @@
         self.retry_amplification =
             surge * attempts_per_success.clamp(min_amplification, MAX_RETRY_AMPLIFICATION);
     }
-}
 
-impl Goodput {
-    /// Updates rate and peak from the successes of one round.
-    fn update(&mut self, mean_report_period_micros: f64) {
-        let gain = ROUND_PERIOD as f64 / (2.0 * mean_report_period_micros.max(MIN_REPORT_PERIOD as f64));
-        let successes = std::mem::take(&mut self.successes);
-        self.per_second += gain * (successes / (ROUND_PERIOD as f64 * 1e-6) - self.per_second);
-        let observed = if self.per_second > 0.0 { 1.0 } else { 0.0 };
-        self.observed_window_ratio += gain * (observed - self.observed_window_ratio);
-        let unbiased = self.per_second / self.observed_window_ratio.max(gain);
-        let decayed_peak = self.peak_per_second * (1.0 - gain * PEAK_GOODPUT_DECAY_RATIO);
-        self.peak_per_second = decayed_peak.max(unbiased);
+    /// Updates the arrival ratio; 1 until the usual rate is known.
+    fn update_arrival_ratio(&mut self, request_rate: f64) {
+        let usual = self.usual_request_rate();
+        let ratio = if usual > 0.0 { request_rate / usual } else { 1.0 };
+        self.arrival_ratio = ratio.clamp(1.0, MAX_RETRY_AMPLIFICATION);
+    }
+
+    /// Updates the recent weight of the ready servers once a round.
+    fn update_ready_weight(&mut self, ready_weight: f64) {
+        let retained = (-(ROUND_PERIOD as f64) / READY_WEIGHT_TIME_CONSTANT_MICROS).exp();
+        let decayed = ready_weight + (self.recent_ready_weight - ready_weight) * retained;
+        self.recent_ready_weight = decayed.max(ready_weight);
     }
 }
 
@@ -266,7 +260,7 @@
         if successes >= ALIVE_SUCCESS_RATIO * attempts {
             server.last_success_at = self.now;
         }
-        self.load.goodput.successes += successes.max(0.0);
+        self.load.goodput.add_successes(successes.max(0.0));
         let objectives = self.settings.classes.iter().map(|class| class.latency_objective);
         let objective = objectives.min().unwrap_or(1).max(1) as f64;
         let errors = f64::from(report.errors).min(attempts);
@@ -298,6 +292,8 @@
         self.load.class_rates = self.usual_class_rates();
         let request_rate = self.connected_request_rate();
         self.load.update_mean_request_rate(request_rate);
+        self.load.update_arrival_ratio(request_rate);
+        self.load.update_ready_weight(self.ready_weight());
         self.load.goodput.update(self.load.mean_report_period_micros);
         self.load.update_latency_ratio(summary, self.now);
         self.load.update_retry_amplification(request_rate);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,7 @@
 mod eligibility;
 mod endpoints;
 mod flow_control;
+mod goodput;
 mod health_check;
 mod load;
 mod locality;
@@ -26,6 +27,7 @@
 mod subset;
 mod table;
 mod table_plan;
+mod warming_load;
 mod zone_local;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -78,6 +80,8 @@
     zone_aware: bool,
     channel: ChannelQueue,
     route_gaps: RouteGaps,
+    /// True: the newest plans send a warming server more than its safe load.
+    warming_servers_overloaded: bool,
 }
 
 impl Policy {
@@ -106,6 +110,7 @@
             zone_aware: false,
             channel: ChannelQueue::default(),
             route_gaps: RouteGaps::default(),
+            warming_servers_overloaded: false,
         }
     }
 
--- a/src/policy/publish.rs
+++ b/src/policy/publish.rs
@@ -51,7 +51,11 @@
     /// Plans all tables and sends their changes, as far as flow control permits, then ejections at proxies.
     pub(super) fn publish_tables(&mut self) {
         let admitted_ratios = self.admitted_ratios();
-        for plan in self.plan_tables() {
+        let plans = self.plan_tables();
+        let warming_load = self.warming_load(&plans);
+        let overloaded = self.overloaded_servers(&warming_load);
+        self.log_warming_load(&warming_load, &overloaded);
+        for plan in plans {
             self.publish_table(&plan, &admitted_ratios);
         }
         self.eject_at_proxies();
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -97,12 +97,28 @@
         if !self.is_warming_up(server) {
             return ratio;
         }
-        let initial = self.settings.initial_capacity_ratio;
-        let capacity = initial + (1.0 - initial) * self.warm_up_progress(server);
-        let safe_load = SAFE_LOAD_RATIO * self.settings.collapse_ratio * capacity;
+        let safe_load = SAFE_LOAD_RATIO * self.settings.collapse_ratio * self.capacity_ratio(server);
         ratio.min(safe_load / load_per_weight.max(1e-9)).max(MIN_WARMING_WEIGHT_RATIO)
     }
 
+    /// Lower bound of a server's present capacity, as a ratio of its full one: 1 once it is warm.
+    pub(super) fn capacity_ratio(&self, server: &Server) -> f64 {
+        if !self.is_warming_up(server) {
+            return 1.0;
+        }
+        let initial = self.settings.initial_capacity_ratio;
+        initial + (1.0 - initial) * self.warm_up_progress(server)
+    }
+
+    /// The load that a warming server can get without risk of a collapse, in listed weight; without bound in
+    /// a deployment whose servers do not collapse.
+    pub(super) fn safe_load(&self, server: &Server) -> f64 {
+        if self.settings.collapse_ratio <= 0.0 {
+            return f64::INFINITY;
+        }
+        SAFE_LOAD_RATIO * self.settings.collapse_ratio * self.capacity_ratio(server) * server.endpoint.weight
+    }
+
     /// True: the peak goodput, with warming servers counted at their initial capacity, covers the admitted
     /// ratio of the usual requests.
     ///
--- a/src/policy/table_plan.rs
+++ b/src/policy/table_plan.rs
@@ -121,8 +121,7 @@
     }
 
     fn fleet_weight(&self) -> FleetWeight {
-        let ready = self.servers.values().filter(|server| server.is_ready());
-        let listed: f64 = ready.map(|server| server.endpoint.weight).sum();
+        let listed = self.ready_weight();
         let usable: f64 = self.servers.values().map(|server| self.usable_weight(server)).sum();
         FleetWeight { listed, utilization: listed / usable.max(1e-9) }
     }
