Bound what warming servers get from all tables and classes together

Cause, the same for both: the load of a warming server was bounded by its weight against the others of its table. A table of warming servers alone, or beside one warm server that is itself overloaded and avoided, bounds nothing; nor does a weight bound a class that may only use the lines of its zone. Slow start ended before the warm-up did, and lending, spill-over and the exclusion of young servers counted by it. Change: the weight ratio of a warming server is at most its capacity ratio; the plans of all tables are summed by server; tables that overload a warming server are widened, and what remains is bounded by admission, by table and for zone-local classes apart. Young servers are excluded only while the remaining ones can carry the load.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -5,6 +5,7 @@
 use super::Policy;
 use super::load::{OVERLOADED_LATENCY_RATIO, RECOVERED_LATENCY_RATIO};
 use super::table::ClassAdmission;
+use super::warming_load::AdmissionBounds;
 use crate::interface::{Action, AdmissionMode, ClassId, Micros, ProxyId};
 
 /// A median queue of this many requests counts as [`OVERLOADED_LATENCY_RATIO`].
@@ -62,6 +63,10 @@
     /// True: requests are shed, and the admitted ones are few enough for warming servers to serve their part.
     /// Then warming servers get traffic even while the fleet is overloaded.
     pub(super) warming_servers_suffice: bool,
+    /// True: latencies or queue lengths do not show that the fleet is recovered from overload.
+    pub(super) overload_possible: bool,
+    /// True: the newest plans bound the attempts, to spare warming servers.
+    pub(super) attempts_bounded: bool,
     state: OverloadState,
     /// The ratio of requests that the servers could serve when overload last began.
     sustainable_ratio: f64,
@@ -132,6 +137,8 @@
     pub(super) fn update_admission(&mut self, elapsed_seconds: f64) {
         let signal = self.overload_signal();
         let latency_ratio = signal.latency_ratio;
+        let highest_ratio = latency_ratio.max(signal.queue_latency_ratio.unwrap_or(0.0));
+        self.admission.overload_possible = highest_ratio > RECOVERED_LATENCY_RATIO;
         let mut admitted = 1.0 - self.admission.shed_fraction;
         if latency_ratio > OVERLOADED_LATENCY_RATIO && signal.has_enough_evidence {
             admitted = self.cut_admission(admitted, latency_ratio);
@@ -232,17 +239,21 @@
         class.priority_weight / class.latency_objective.max(1) as f64
     }
 
-    /// Admission level and retry policy of each class at these proxies of a table.
+    /// Admission level and retry policy of each class at these proxies of a table, within the bounds that
+    /// warming servers need.
     pub(super) fn class_admissions(
         &self,
         admitted_ratios: &[f64],
+        bounds: &AdmissionBounds,
         proxies: &BTreeSet<ProxyId>,
     ) -> BTreeMap<ClassId, ClassAdmission> {
         let mut admissions = BTreeMap::new();
         for (index, class) in self.settings.classes.iter().enumerate().take(MAX_CLASSES) {
             let id = ClassId(index as u8);
             let usual_rate = self.mean_usual_rate(proxies, id);
+            let bound = if class.zone_local { bounds.zone_local } else { bounds.other };
             let level = self.admission_level(admitted_ratios[index], usual_rate);
+            let level = level.min(self.bounded_level(bound, usual_rate));
             admissions.insert(id, ClassAdmission { retry_policy: self.retry_policy(class), level });
         }
         admissions
@@ -266,6 +277,19 @@
         }
     }
 
+    /// The level that admits at most `bound` times the usual requests as attempts, clients' retries included;
+    /// infinite while no more arrive.
+    fn bounded_level(&self, bound: f64, usual_rate: f64) -> f64 {
+        if bound >= self.load.arrival_ratio {
+            return f64::INFINITY;
+        }
+        match self.settings.admission_mode {
+            AdmissionMode::RequestsPerSecond if usual_rate > 0.0 => bound * usual_rate,
+            AdmissionMode::RequestsPerSecond => f64::INFINITY,
+            AdmissionMode::Ratio | AdmissionMode::Ignored => bound / self.load.arrival_ratio,
+        }
+    }
+
     /// Mean usual rate of a class at these proxies, in requests per second for each proxy.
     fn mean_usual_rate(&self, proxies: &BTreeSet<ProxyId>, class: ClassId) -> f64 {
         let records = proxies.iter().filter_map(|proxy| self.proxies.get(proxy));
--- a/src/policy/load.rs
+++ b/src/policy/load.rs
@@ -241,7 +241,8 @@
         let rate = proxy.request_rates.entry(class).or_insert(observed);
         *rate += smoothing_gain(period, REQUEST_RATE_TIME_CONSTANT_MICROS) * (observed - *rate);
         let usual = proxy.usual_rates.entry(class).or_insert(*rate);
-        if self.admission.shed_fraction == 0.0 && self.load.latency_ratio < RECOVERED_LATENCY_RATIO {
+        let sheds = self.admission.shed_fraction > 0.0 || self.admission.attempts_bounded;
+        if !sheds && self.load.latency_ratio < RECOVERED_LATENCY_RATIO {
             *usual += smoothing_gain(period, MEAN_RATE_TIME_CONSTANT_MICROS) * (observed - *usual);
         }
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -80,6 +80,8 @@
     zone_aware: bool,
     channel: ChannelQueue,
     route_gaps: RouteGaps,
+    /// True: servers that are warm or nearly so can carry the fleet's load, so that others may be excluded.
+    others_carry_the_load: bool,
     /// True: the newest plans send a warming server more than its safe load.
     warming_servers_overloaded: bool,
 }
@@ -110,6 +112,7 @@
             zone_aware: false,
             channel: ChannelQueue::default(),
             route_gaps: RouteGaps::default(),
+            others_carry_the_load: true,
             warming_servers_overloaded: false,
         }
     }
@@ -145,6 +148,7 @@
         self.remove_servers();
         self.remove_proxies();
         self.update_load();
+        self.update_warming_exclusion();
         self.update_health();
         self.eject_outliers();
         self.update_outlier_weights();
@@ -158,6 +162,7 @@
         if self.settings.shard_count > 0 {
             self.assign_shards();
         } else {
+            self.update_warming_exclusion();
             self.update_subsets();
             self.publish_tables();
         }
--- a/src/policy/publish.rs
+++ b/src/policy/publish.rs
@@ -5,7 +5,7 @@
 use super::Policy;
 use super::flow_control::Urgency;
 use super::table::{ClassAdmission, Table};
-use super::table_plan::TablePlan;
+use super::table_plan::{PlanStep, TablePlan};
 use crate::interface::{Action, ClassId, ProxyId, RetryPolicy, ServerId, TableId};
 
 /// A weight is sent only if it changes by more than this ratio of the largest planned weight of its table,
@@ -51,11 +51,7 @@
     /// Plans all tables and sends their changes, as far as flow control permits, then ejections at proxies.
     pub(super) fn publish_tables(&mut self) {
         let admitted_ratios = self.admitted_ratios();
-        let plans = self.plan_tables();
-        let warming_load = self.warming_load(&plans);
-        let overloaded = self.overloaded_servers(&warming_load);
-        self.log_warming_load(&warming_load, &overloaded);
-        for plan in plans {
+        for plan in self.plan_tables() {
             self.publish_table(&plan, &admitted_ratios);
         }
         self.eject_at_proxies();
@@ -105,7 +101,7 @@
     /// send.
     fn table_changes(&self, plan: &TablePlan, admitted_ratios: &[f64]) -> TableChanges {
         let table = &self.tables[&plan.table];
-        let mut admission = self.class_admissions(admitted_ratios, &table.proxies);
+        let mut admission = self.class_admissions(admitted_ratios, &plan.bounds, &table.proxies);
         admission.retain(|class, new| {
             let old = table.sent_admission(*class);
             let level_differs = (new.level - old.level).abs() > MIN_CHANGE_RATIO * new.level;
@@ -136,9 +132,10 @@
             if old != 0.0 && !is_urgent_cut && !is_large {
                 continue;
             }
+            let spares_warming_servers = old == 0.0 && plan.step == PlanStep::Widened;
             let urgency = if table.weights.is_empty() || is_in_unserved_zone(server) {
                 Urgency::Critical
-            } else if is_urgent_cut {
+            } else if is_urgent_cut || spares_warming_servers {
                 Urgency::Fault
             } else {
                 Urgency::Routine
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -22,6 +22,12 @@
 const MIN_WARM_UP_RATIO_CONGESTED: f64 = 0.9;
 /// Upper bound of the load of a warming server, as a ratio of the load at which it collapses.
 const SAFE_LOAD_RATIO: f64 = 0.65;
+/// Upper bound of the expected load of the servers of a table with warming ones while the fleet may be
+/// overloaded, as a multiple of their present capacity.
+const MAX_UTILIZATION: f64 = 1.5;
+/// Upper bound of the fleet's load, as a multiple of the capacity of the remaining servers, at which warming
+/// ones may be excluded if all that remain are warm.
+const MAX_WARM_UTILIZATION: f64 = 2.5;
 
 impl Policy {
     /// When a listed server begins its slow start: after the hold-off that follows its start. 0: it is warm.
@@ -34,13 +40,18 @@
     }
 
     /// The ratio of its full weight that a server has reached in its slow start: grows linearly from
-    /// [`INITIAL_WEIGHT_RATIO`] to 1 over [`SLOW_START_WINDOW`].
+    /// [`INITIAL_WEIGHT_RATIO`] to 1 over [`SLOW_START_WINDOW`]. While the server warms up it is at most its
+    /// capacity ratio.
+    ///
+    /// Guards against a server that counts as much as a warm one, in tables, sums and lending, while its
+    /// capacity is still reduced. Cost: tables with warming servers spill over for longer.
     pub(super) fn slow_start_ratio(&self, server: &Server) -> f64 {
+        let capacity_ratio = self.capacity_ratio(server);
         if server.slow_start_at == 0 {
-            return 1.0;
+            return capacity_ratio;
         }
         let progress = self.now.saturating_sub(server.slow_start_at) as f64 / SLOW_START_WINDOW as f64;
-        (INITIAL_WEIGHT_RATIO + (1.0 - INITIAL_WEIGHT_RATIO) * progress).min(1.0)
+        (INITIAL_WEIGHT_RATIO + (1.0 - INITIAL_WEIGHT_RATIO) * progress).min(capacity_ratio)
     }
 
     /// Time since the server's start as a ratio of the warm-up time; 1 or more once it is warm.
@@ -65,9 +76,10 @@
     /// Guards against the collapse of warming servers while the fleet is overloaded or probably is, that is,
     /// while probes indicate saturation or soon after a gap in reports. Cost: a release under overload
     /// regains its capacity later. The rule does not apply while warming servers can serve their part of what
-    /// is admitted ([`Policy::warming_servers_suffice`]).
+    /// is admitted ([`Policy::warming_servers_suffice`]), nor while the others could not carry the load
+    /// ([`Policy::update_warming_exclusion`]).
     pub(super) fn is_excluded_while_warming(&self, server: &Server, zone: ZoneId) -> bool {
-        if self.admission.warming_servers_suffice {
+        if self.admission.warming_servers_suffice || !self.others_carry_the_load {
             return false;
         }
         let overload_likely = self.load.latency_ratio > OVERLOADED_LATENCY_RATIO
@@ -79,6 +91,26 @@
         self.is_below_warm_up(server, MIN_WARM_UP_RATIO_CONGESTED) && self.is_congested(zone)
     }
 
+    /// Decides whether warming servers may be excluded: only while all servers that would never be excluded
+    /// can carry the fleet's load.
+    ///
+    /// Guards against the collapse of nearly warm servers that get the load of the excluded ones.
+    pub(super) fn update_warming_exclusion(&mut self) {
+        let remaining: Vec<&Server> = self
+            .servers
+            .values()
+            .filter(|server| {
+                let in_service = server.is_ready() && !server.health.is_unhealthy();
+                in_service && !self.is_below_warm_up(server, MIN_WARM_UP_RATIO_OVERLOADED)
+            })
+            .collect();
+        let any_warming = remaining.iter().any(|server| self.is_warming_up(server));
+        let max_utilization = if any_warming { MAX_UTILIZATION } else { MAX_WARM_UTILIZATION };
+        let capacity: f64 =
+            remaining.iter().map(|server| self.capacity_ratio(server) * server.endpoint.weight).sum();
+        self.others_carry_the_load = max_utilization * capacity >= self.fleet_load();
+    }
+
     /// True: the latency ratio of the fleet or of the zone is above [`CONGESTED_LATENCY_RATIO`].
     fn is_congested(&self, zone: ZoneId) -> bool {
         let zone_ratio = self.load.zone_latency_ratio.get(&zone).copied().unwrap_or(0.0);
@@ -110,9 +142,23 @@
         initial + (1.0 - initial) * self.warm_up_progress(server)
     }
 
-    /// The load that a warming server can get without risk of a collapse, in listed weight; without bound in
-    /// a deployment whose servers do not collapse.
+    /// The load that a server of a table with warming servers can get, in listed weight. For a warming one it
+    /// is at most [`Policy::collapse_safe_load`]. While the fleet may be overloaded it is for all servers at
+    /// most [`MAX_UTILIZATION`] times their present capacity, as proxies avoid servers that fail, and the
+    /// warming ones would get their load.
     pub(super) fn safe_load(&self, server: &Server) -> f64 {
+        let collapse_safe_load =
+            if self.is_warming_up(server) { self.collapse_safe_load(server) } else { f64::INFINITY };
+        if !self.admission.overload_possible {
+            return collapse_safe_load;
+        }
+        let sustainable_load = MAX_UTILIZATION * self.capacity_ratio(server) * server.endpoint.weight;
+        sustainable_load.min(collapse_safe_load)
+    }
+
+    /// The load at which a warming server is safe from a collapse, in listed weight: [`SAFE_LOAD_RATIO`] of
+    /// the load at which it collapses; without bound in a deployment whose servers do not collapse.
+    pub(super) fn collapse_safe_load(&self, server: &Server) -> f64 {
         if self.settings.collapse_ratio <= 0.0 {
             return f64::INFINITY;
         }
--- a/src/policy/table_plan.rs
+++ b/src/policy/table_plan.rs
@@ -11,6 +11,7 @@
 use super::Policy;
 use super::server::Server;
 use super::subset::SHARED_TABLE;
+use super::warming_load::AdmissionBounds;
 use crate::interface::{ServerId, TableId, ZoneId};
 
 /// A table with servers in slow start spills over to other subsets when its load, in server weight, is above
@@ -25,6 +26,13 @@
 /// use different servers.
 const SPILL_OVER_START_STRIDE: usize = 7;
 
+/// The load that the weight of a table covers after each widening, as a multiple of the table's load. After
+/// the last one the table contains all usable servers.
+const WIDENING_RATIOS: [f64; 5] = [1.5, 2.5, 4.0, 6.0, f64::INFINITY];
+
+/// How often each table was widened, at most as often as there are [`WIDENING_RATIOS`].
+type Widenings = BTreeMap<TableId, usize>;
+
 /// Total weight of the fleet.
 struct FleetWeight {
     /// Sum of the listed weights of all ready servers.
@@ -40,6 +48,8 @@
     load: f64,
     /// The servers of the subset and its siblings in other zones that its proxies may use.
     usable: Vec<&'a Server>,
+    /// How often the table was widened.
+    widening: usize,
 }
 
 /// Servers grouped by the index of their subset within its zone.
@@ -57,6 +67,8 @@
     Siblings,
     /// Those of other subsets, too.
     SpillOver,
+    /// More of those, as warming servers or those beside them would be overloaded otherwise.
+    Widened,
     /// All ready servers, as none is usable.
     Panic,
 }
@@ -68,6 +80,7 @@
             PlanStep::OwnZone => "its zone",
             PlanStep::Siblings => "its siblings in other zones",
             PlanStep::SpillOver => "other subsets",
+            PlanStep::Widened => "more subsets, for warming servers",
             PlanStep::Panic => "the whole list (panic mode)",
         })
     }
@@ -89,12 +102,37 @@
     /// above 0: the merge of the endpoint list replaces other listed weights by 1, and the factors have lower
     /// bounds above 0.
     pub(super) weights: BTreeMap<ServerId, f64>,
+    /// Bounds of the admission at its proxies.
+    pub(super) bounds: AdmissionBounds,
 }
 
 impl Policy {
     /// Plans the tables that are in use. In the usual case a table is planned from its own subset and that
     /// subset's siblings only, so that the cost is proportional to servers times zones.
-    pub(super) fn plan_tables(&self) -> Vec<TablePlan> {
+    ///
+    /// While plans would overload warming servers, or servers beside them, the tables that contain these are
+    /// [widened](WIDENING_RATIOS); what remains is bounded by admission.
+    ///
+    /// Guards against the collapse of warming servers that get the load of tables with few others, for
+    /// whatever reason these are few. Cost: such tables are long, requests cross zones, and requests are
+    /// shed.
+    pub(super) fn plan_tables(&mut self) -> Vec<TablePlan> {
+        let mut widenings = Widenings::new();
+        loop {
+            let mut plans = self.plan_tables_with(&widenings);
+            let load = self.warming_load(&plans);
+            let overloaded = self.overloaded_servers(&load);
+            let is_overloading = |plan: &&TablePlan| plan.weights.keys().any(|id| overloaded.contains(id));
+            if !self.zone_aware || !widen(&mut widenings, plans.iter().filter(is_overloading)) {
+                self.bound_admission(&mut plans, &load);
+                self.log_warming_load(&load, &overloaded);
+                return plans;
+            }
+        }
+    }
+
+    /// Plans the tables that are in use with these widenings.
+    fn plan_tables_with(&self, widenings: &Widenings) -> Vec<TablePlan> {
         let shares = if self.zone_aware { self.load_shares() } else { BTreeMap::from([(SHARED_TABLE, 1.0)]) };
         let siblings = self.siblings();
         let fleet = self.fleet_weight();
@@ -106,8 +144,9 @@
             let members = siblings.get(&self.sibling_index(subset)).map_or(&[][..], |members| members);
             let is_usable = |server: &&Server| self.is_usable(server, self.judging_zone(server, subset));
             let usable = members.iter().copied().filter(is_usable).collect();
-            let demand = TableDemand { subset, load: share * fleet.listed, usable };
-            plans.push(self.plan_table(&demand, &fleet));
+            let load = share * fleet.listed;
+            let widening = widenings.get(&subset).copied().unwrap_or(0);
+            plans.push(self.plan_table(&TableDemand { subset, load, usable, widening }, &fleet));
         }
         plans
     }
@@ -147,7 +186,7 @@
             self.add_warm_endpoints(demand, warming_weight, &mut weights);
         }
         self.add_local_fallback(demand.subset, &mut weights);
-        TablePlan { table: demand.subset, step, weights }
+        TablePlan { table: demand.subset, step, weights, bounds: AdmissionBounds::NONE }
     }
 
     /// The usable servers of the subset. If they do not suffice ([`Policy::needs_spill_over`]), the usable
@@ -174,9 +213,13 @@
             step = PlanStep::Siblings;
         }
         if self.needs_spill_over(&servers, demand.load) {
-            self.spill_over(demand, &mut servers);
+            self.spill_over(demand, demand.load, &mut servers);
             step = PlanStep::SpillOver;
         }
+        if demand.widening > 0 {
+            self.spill_over(demand, WIDENING_RATIOS[demand.widening - 1] * demand.load, &mut servers);
+            step = PlanStep::Widened;
+        }
         if servers.is_empty() {
             servers = self.servers.values().filter(|server| server.is_ready()).collect();
             step = PlanStep::Panic;
@@ -199,19 +242,19 @@
         servers.iter().map(|server| self.effective_weight(server)).sum::<f64>().max(1e-9)
     }
 
-    /// Adds servers of other subsets until the table's weight covers its load: servers past slow start first,
-    /// and among equals those of its own zone. The start in the list differs by table, so that tables add
-    /// different servers.
+    /// Adds servers of other subsets until the table's weight covers this load: servers past slow start
+    /// first, and among equals those of its own zone. The start in the list differs by table, so that tables
+    /// add different servers.
     ///
     /// Guards against a table with only one or two servers in slow start: the only server of a table gets all
     /// its traffic, whatever its weight. Cost: these tables are long, and requests cross zones.
-    fn spill_over<'a>(&'a self, demand: &TableDemand<'a>, chosen: &mut Vec<&'a Server>) {
+    fn spill_over<'a>(&'a self, demand: &TableDemand<'a>, load: f64, chosen: &mut Vec<&'a Server>) {
         let zone = self.zone_of(demand.subset);
         let mut others = self.other_usable_servers(demand.subset, chosen);
         let start = usize::from(demand.subset.0) * SPILL_OVER_START_STRIDE % others.len().max(1);
         others.rotate_left(start);
         others.sort_by_key(|server| (self.slow_start_ratio(server) < 1.0, server.zone() != zone));
-        self.add_until_covered(others, demand.load, chosen);
+        self.add_until_covered(others, load, chosen);
     }
 
     /// Adds servers of the other subsets of its zone until the table's weight covers its load, but at least
@@ -291,6 +334,19 @@
     }
 }
 
+/// Widens the tables of these plans once more. True: any could be widened.
+fn widen<'a>(widenings: &mut Widenings, plans: impl Iterator<Item = &'a TablePlan>) -> bool {
+    let mut any_widened = false;
+    for plan in plans {
+        let widening = widenings.entry(plan.table).or_default();
+        if *widening < WIDENING_RATIOS.len() {
+            *widening += 1;
+            any_widened = true;
+        }
+    }
+    any_widened
+}
+
 /// Adds the servers of `usable` that are missing in `servers`.
 fn add_missing<'a>(servers: &mut Vec<&'a Server>, usable: &[&'a Server]) {
     let mut all = usable.to_vec();
--- a/src/policy/warming_load.rs
+++ b/src/policy/warming_load.rs
@@ -1,5 +1,5 @@
-//! The expected load of warming servers: what all tables and classes together send to each of them, against
-//! the load that is safe at its present capacity.
+//! The expected load of the servers in tables with warming servers: what all tables and classes together send
+//! to each of them, against the load that is safe at its present capacity.
 //!
 //! The load of the fleet is assumed to use all the capacity that it recently had. Loads are in listed weight.
 
@@ -10,7 +10,11 @@
 use super::table_plan::TablePlan;
 use crate::interface::{Action, ServerId, TableId, ZoneId};
 
-/// The load that the planned tables send to one warming server.
+/// The part of a server's safe load that zone-local classes get at least, if they need it, before the
+/// admission of other classes is bounded.
+const MIN_ZONE_LOCAL_LOAD_RATIO: f64 = 0.5;
+
+/// The load that the planned tables send to one server, without clients' retries.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ExpectedLoad {
     /// The part that zone-local classes cause.
@@ -23,11 +27,50 @@
     fn total(&self) -> f64 {
         self.zone_local + self.other
     }
+
+    /// The bounds with which the server gets at most its safe load. Zone-local classes alone are bounded
+    /// while the others leave them at least [`MIN_ZONE_LOCAL_LOAD_RATIO`] of it, as these can use other
+    /// servers.
+    fn admission_bounds(&self, safe_load: f64) -> AdmissionBounds {
+        let remaining = safe_load - self.other;
+        if self.zone_local > 0.0 && remaining >= MIN_ZONE_LOCAL_LOAD_RATIO * safe_load {
+            return AdmissionBounds { zone_local: remaining / self.zone_local, other: f64::INFINITY };
+        }
+        let bound = safe_load / self.total();
+        AdmissionBounds { zone_local: bound, other: bound }
+    }
 }
 
-/// The expected load of each warming server that a planned table contains.
+/// The expected load of each server of a table with warming servers.
 pub(super) type WarmingLoad = BTreeMap<ServerId, ExpectedLoad>;
 
+/// Upper bounds of the admitted attempts at the proxies of a table, as multiples of the usual requests.
+/// Infinite: no bound.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AdmissionBounds {
+    /// For zone-local classes.
+    pub(super) zone_local: f64,
+    /// For all other classes.
+    pub(super) other: f64,
+}
+
+impl AdmissionBounds {
+    /// No bounds.
+    pub(super) const NONE: AdmissionBounds =
+        AdmissionBounds { zone_local: f64::INFINITY, other: f64::INFINITY };
+
+    /// Raises each bound to at least the usual requests.
+    fn at_least_usual(self) -> AdmissionBounds {
+        AdmissionBounds { zone_local: self.zone_local.max(1.0), other: self.other.max(1.0) }
+    }
+
+    /// Lowers each bound to the other one's.
+    fn restrict(&mut self, other: AdmissionBounds) {
+        self.zone_local = self.zone_local.min(other.zone_local);
+        self.other = self.other.min(other.other);
+    }
+}
+
 /// The load of the proxies of one zone that use a table, split by whether a class is zone-local.
 struct ProxyDemand {
     table: TableId,
@@ -37,43 +80,72 @@
 }
 
 impl Policy {
-    /// The load that these plans together send to each warming server, without retries and surges.
+    /// The load that these plans together send to each server of a table with warming servers.
     pub(super) fn warming_load(&self, plans: &[TablePlan]) -> WarmingLoad {
-        let mut load = WarmingLoad::new();
+        let has_warming = |plan: &&TablePlan| self.planned_servers(plan).any(|(s, _)| self.is_warming_up(s));
+        let servers = plans.iter().filter(has_warming).flat_map(|plan| plan.weights.keys());
+        let mut load: WarmingLoad = servers.map(|id| (*id, ExpectedLoad::default())).collect();
+        if load.is_empty() {
+            return load;
+        }
         for demand in self.proxy_demands() {
-            let Some(plan) = plans.iter().find(|plan| plan.table == demand.table) else { continue };
-            let mut total_weight = 0.0;
-            let mut local_weight = 0.0;
-            for (server, weight) in self.planned_servers(plan) {
-                total_weight += weight;
-                if server.zone() == demand.zone {
-                    local_weight += weight;
-                }
-            }
-            for (server, weight) in
-                self.planned_servers(plan).filter(|(server, _)| self.is_warming_up(server))
-            {
-                let expected = load.entry(server.id()).or_default();
-                expected.other += demand.other * weight / total_weight;
-                if server.zone() == demand.zone {
-                    expected.zone_local += demand.zone_local * weight / local_weight;
-                }
+            if let Some(plan) = plans.iter().find(|plan| plan.table == demand.table) {
+                self.add_demand(&demand, plan, &mut load);
             }
         }
         load
     }
 
-    /// The warming servers whose expected load, with retries and surges, is not safe.
+    /// Adds the load of one group of proxies to the servers of their table.
+    fn add_demand(&self, demand: &ProxyDemand, plan: &TablePlan, load: &mut WarmingLoad) {
+        let is_local = |server: &Server| server.zone() == demand.zone;
+        let total: f64 = plan.weights.values().sum();
+        let local: f64 =
+            self.planned_servers(plan).filter(|(server, _)| is_local(server)).map(|(_, weight)| weight).sum();
+        for (server, weight) in self.planned_servers(plan) {
+            let Some(expected) = load.get_mut(&server.id()) else { continue };
+            expected.other += demand.other * weight / total;
+            if is_local(server) {
+                expected.zone_local += demand.zone_local * weight / local;
+            }
+        }
+    }
+
+    /// The servers of the expected load that would get more than their safe load, with the requests that
+    /// arrive now.
     pub(super) fn overloaded_servers(&self, load: &WarmingLoad) -> BTreeSet<ServerId> {
-        let is_unsafe = |id: &ServerId, expected: &ExpectedLoad| {
-            let server = self.servers.get(id);
-            server.is_some_and(|server| expected.total() * self.load.arrival_ratio > self.safe_load(server))
+        let arrivals = self.load.arrival_ratio;
+        let is_overloaded = |id: &ServerId, expected: &ExpectedLoad| {
+            self.servers.get(id).is_some_and(|server| expected.total() * arrivals > self.safe_load(server))
         };
-        load.iter().filter(|(id, expected)| is_unsafe(id, expected)).map(|(id, _)| *id).collect()
+        load.iter().filter(|(id, expected)| is_overloaded(id, expected)).map(|(id, _)| *id).collect()
+    }
+
+    /// Sets the bounds of admission with which the plans send no warming server so much that it could
+    /// collapse, and no server beside one more than its safe load by retries.
+    pub(super) fn bound_admission(&mut self, plans: &mut [TablePlan], load: &WarmingLoad) {
+        let groups: BTreeSet<(TableId, ZoneId)> =
+            self.proxy_demands().iter().map(|demand| (demand.table, demand.zone)).collect();
+        for plan in plans.iter_mut() {
+            for id in plan.weights.keys() {
+                let (Some(server), Some(expected)) = (self.servers.get(id), load.get(id)) else { continue };
+                let mut bounds = if self.is_warming_up(server) {
+                    expected.admission_bounds(self.collapse_safe_load(server))
+                } else {
+                    expected.admission_bounds(self.safe_load(server)).at_least_usual()
+                };
+                if !groups.contains(&(plan.table, server.zone())) {
+                    bounds.zone_local = f64::INFINITY;
+                }
+                plan.bounds.restrict(bounds);
+            }
+        }
+        self.admission.attempts_bounded =
+            plans.iter().any(|plan| plan.bounds.zone_local.min(plan.bounds.other) < self.load.arrival_ratio);
     }
 
-    /// Logs when the expected load of warming servers begins and ends to be unsafe, with the server whose
-    /// load is largest in relation to its capacity.
+    /// Logs when the expected load begins and ends to be unsafe, with the server whose load is largest in
+    /// relation to its capacity.
     pub(super) fn log_warming_load(&mut self, load: &WarmingLoad, overloaded: &BTreeSet<ServerId>) {
         let was_overloaded = std::mem::replace(&mut self.warming_servers_overloaded, !overloaded.is_empty());
         if overloaded.is_empty() != was_overloaded {
@@ -81,7 +153,7 @@
         }
         let text = match self.most_loaded(load, overloaded) {
             Some(most_loaded) => {
-                format!("{} warming servers are overloaded: {most_loaded}", overloaded.len())
+                format!("{} servers beside warming ones are overloaded: {most_loaded}", overloaded.len())
             }
             None => "the load of warming servers is safe again".to_owned(),
         };
@@ -122,8 +194,8 @@
         self.load_shares().into_iter().map(demand).collect()
     }
 
-    /// The fleet's load without retries and surges: the largest recent listed weight of all ready servers.
-    fn fleet_load(&self) -> f64 {
+    /// The fleet's load without clients' retries: the largest recent listed weight of all ready servers.
+    pub(super) fn fleet_load(&self) -> f64 {
         self.load.recent_ready_weight.max(self.ready_weight())
     }
 
