Bound what one report can contain by what its sender can carry

Cause: a count was believed up to 32 bits, so that one proxy's rate was the fleet's load: its zone borrowed nearly all warm servers of the others.

--- a/src/policy/connections.rs
+++ b/src/policy/connections.rs
@@ -1,6 +1,7 @@
 //! Connections of proxies: the subset that a connecting proxy joins, and the table that it is assigned to.
 
 use super::Policy;
+use super::plausibility::MAX_DECLARED_RATE;
 use super::subset::SHARED_TABLE;
 use crate::interface::{Micros, ProxyId, TableId, ZoneId};
 
@@ -25,6 +26,7 @@
         }
         let declared_rate =
             if declared_rate.is_finite() && declared_rate > 0.0 { declared_rate } else { 1.0 };
+        let declared_rate = declared_rate.min(MAX_DECLARED_RATE);
         *self.connected_by_zone.entry(zone).or_default() += 1;
         self.unassigned_proxies.insert(proxy);
         self.tables.entry(subset).or_default().declared_rate += declared_rate;
--- a/src/policy/load.rs
+++ b/src/policy/load.rs
@@ -236,8 +236,8 @@
     /// Updates a proxy's request rates. Its usual rate is not updated while requests are shed or the fleet is
     /// not recovered, as clients then retry requests and the total is inflated.
     pub(super) fn record_client_stats(&mut self, proxy: ProxyId, class: ClassId, period: Micros, total: u32) {
+        let observed = self.plausible_rate(proxy, class, period, total);
         let Some(proxy) = self.proxies.get_mut(&proxy) else { return };
-        let observed = f64::from(total) * 1e6 / period as f64;
         let rate = proxy.request_rates.entry(class).or_insert(observed);
         *rate += smoothing_gain(period, REQUEST_RATE_TIME_CONSTANT_MICROS) * (observed - *rate);
         let usual = proxy.usual_rates.entry(class).or_insert(*rate);
@@ -250,6 +250,7 @@
     /// Updates the mean report period and, for a known server with attempts, the sums of its server and zone,
     /// the goodput and the time of the server's last success.
     pub(super) fn record_upstream_stats(&mut self, report: &UpstreamReport) {
+        let report = self.plausible_upstream(report);
         let mean_period = &mut self.load.mean_report_period_micros;
         *mean_period += REPORT_PERIOD_GAIN * (report.period as f64 - *mean_period);
         let attempts = f64::from(report.attempts);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 mod locality;
 mod median;
 mod outlier_detection;
+mod plausibility;
 mod proxy;
 mod publish;
 mod retry;
@@ -38,6 +39,7 @@
 use health_check::FleetProbes;
 use load::{FleetLoad, UpstreamReport};
 use outlier_detection::OutlierDetection;
+use plausibility::ReferenceRates;
 use proxy::Proxy;
 use route_gaps::RouteGaps;
 use server::Server;
@@ -73,6 +75,7 @@
 
     discovery: DiscoveryPolling,
     load: FleetLoad,
+    reference_rates: ReferenceRates,
     fleet_probes: FleetProbes,
     outlier_detection: OutlierDetection,
     admission: AdmissionController,
@@ -106,6 +109,7 @@
             shards: BTreeMap::new(),
             discovery: DiscoveryPolling::start(first_poll_at),
             load: FleetLoad::new(),
+            reference_rates: ReferenceRates::default(),
             fleet_probes: FleetProbes::default(),
             outlier_detection: OutlierDetection::default(),
             admission: AdmissionController::default(),
@@ -148,6 +152,7 @@
         self.remove_servers();
         self.remove_proxies();
         self.update_load();
+        self.update_reference_rates();
         self.update_warming_exclusion();
         self.update_health();
         self.eject_outliers();
--- a/src/policy/subset.rs
+++ b/src/policy/subset.rs
@@ -106,7 +106,11 @@
         let mut load: BTreeMap<TableId, f64> = BTreeMap::new();
         for proxy in self.proxies.values() {
             let rates = &proxy.request_rates;
-            let rate = if rates.is_empty() { proxy.declared_rate } else { rates.values().sum() };
+            let rate = if rates.is_empty() {
+                self.plausible_declared_rate(proxy.declared_rate)
+            } else {
+                rates.values().sum()
+            };
             *load.entry(proxy.subset).or_default() += if reported { rate } else { 1.0 };
         }
         let total: f64 = load.values().sum::<f64>().max(1e-9);
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -9,6 +9,7 @@
 mod health_check;
 mod locality;
 mod outlier_detection;
+mod plausibility;
 mod publish;
 mod retry;
 mod route_gaps;
