Hand a shard with a single writer over only after the last write of every proxy

Cause: a proxy without its stream writes for a time, and the last write then lasts for another; the handover waited for the longer of the two, not for their sum. Its time ran from the removal's order, not from when proxies had it. Change: the times add up. The removal asks each connected proxy for an acknowledgement, and the longest write runs from the last one; a proxy that disconnects first, or is not connected to this instance, adds the time that it may go on writing.

--- a/src/policy/channel.rs
+++ b/src/policy/channel.rs
@@ -38,6 +38,11 @@
         self.current.lines = BTreeMap::new();
     }
 
+    /// The nonce that proxies acknowledge the current decision with, if it sends lines.
+    pub(super) fn current_nonce(&self) -> u16 {
+        (self.current.nonce + 1) % u16::MAX
+    }
+
     /// Adds lines that the current decision sends to a proxy.
     pub(super) fn enqueue(&mut self, proxy: ProxyId, lines: f64) {
         *self.current.lines.entry(proxy).or_default() += lines;
@@ -49,7 +54,7 @@
         if self.current.lines.is_empty() {
             return None;
         }
-        self.current.nonce = (self.current.nonce + 1) % u16::MAX;
+        self.current.nonce = self.current_nonce();
         self.unacknowledged.push_back(self.current.clone());
         Some(self.current.nonce)
     }
--- a/src/policy/connections.rs
+++ b/src/policy/connections.rs
@@ -62,6 +62,7 @@
         if let Some(table) = assigned.and_then(|table| self.tables.get_mut(&table)) {
             table.proxies.remove(&proxy);
         }
+        self.forget_shard_confirmations(proxy);
     }
 
     /// Records that a proxy is assigned to a table, which replaces its previous one.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -185,7 +185,10 @@
                 self.connect_proxy(*proxy, *zone, *usual_request_rate)
             }
             Event::ProxyDisconnected { proxy } => self.disconnect_proxy(*proxy),
-            Event::Acknowledged { proxy, nonce, .. } => self.channel.acknowledge(*proxy, *nonce),
+            Event::Acknowledged { proxy, nonce, .. } => {
+                self.channel.acknowledge(*proxy, *nonce);
+                self.confirm_shard_removals(*proxy, *nonce);
+            }
             Event::UpstreamStats { server, zone, period, attempts, failed_attempts, latency, load } => {
                 self.record_load_report(*server, load);
                 self.load.responses_carry_load |= !load.is_empty();
