Bound the memory and time that long messages of all platform peers together use

Operators saw a process pass its memory limit while hundreds of clients wrote slowly, stopped inside a message or sent very many short fields; heartbeats waited for seconds. Cause: each joined stream could keep 1 MiB of an unfinished line for any time, and each line was parsed into a map of all its fields on the threads that serve all streams. Change: a message beyond 16 KiB needs one of 16 permits and then ends within 2 s, any message within 10 s; long ones are parsed one at a time on a thread for blocking work; unknown fields are skipped. Messages, limits of a single message and replies are as before.

--- a/crates/stepspur-platform/src/lib.rs
+++ b/crates/stepspur-platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod connections;
 pub mod discovery;
 mod handshake;
+mod input_budget;
 pub mod listener;
 pub mod message;
 pub mod protocol;
--- a/crates/stepspur-platform/src/listener.rs
+++ b/crates/stepspur-platform/src/listener.rs
@@ -16,11 +16,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::connections::{ConnectionLimits, Connections};
 use crate::handshake::{HEARTBEAT_REPLY, Handshake, PeerRole, READ_RESERVE_BYTES, Socket};
+use crate::input_budget::{
+    InputBudget, LONG_MESSAGE_TIMEOUT, LongMessagePermit, MAX_SHORT_MESSAGE_BYTES, MESSAGE_TIMEOUT,
+};
 use crate::message::{Catalog, LineBuffer, MAX_MESSAGE_BYTES, Message, MessageError};
 
 /// Longest time that a graceful close waits for the peer.
@@ -49,6 +52,7 @@
 
     async fn accept(self, listener: TcpListener, engine: EngineHandle, shutdown: Shutdown) {
         let connections = Arc::new(Connections::new(self.limits));
+        let input_budget = Arc::new(InputBudget::new());
         let (mut tasks, mut next) = (JoinSet::new(), 0);
         let accept = async {
             loop {
@@ -74,6 +78,7 @@
                     stream,
                     catalog: Arc::clone(&self.catalog),
                     connections: Arc::clone(&connections),
+                    input_budget: Arc::clone(&input_budget),
                     engine: engine.clone(),
                     ready: self.ready.clone(),
                     abort,
@@ -117,6 +122,7 @@
     stream: StreamId,
     catalog: Arc<Catalog>,
     connections: Arc<Connections>,
+    input_budget: Arc<InputBudget>,
     engine: EngineHandle,
     ready: watch::Receiver<bool>,
     /// Cancelled to close the connection at once: it is evicted, or its send queue exceeds its limits.
@@ -192,7 +198,8 @@
         }
     }
 
-    /// Passes messages on to the engine until the stream ends or becomes unreadable.
+    /// Passes messages on to the engine until the stream ends or becomes unreadable, or a message is not
+    /// complete in time.
     async fn read_messages(
         &self,
         role: PeerRole,
@@ -200,6 +207,7 @@
         mut lines: LineBuffer,
         heartbeat: mpsc::Sender<()>,
     ) {
+        let mut unfinished = UnfinishedMessage::default();
         loop {
             loop {
                 let line = match lines.next_line(MAX_MESSAGE_BYTES) {
@@ -209,30 +217,47 @@
                         return tracing::debug!(event = "unreadable_message", stream = self.stream.0, %cause);
                     }
                 };
-                match self.catalog.parse(&line) {
-                    Ok(Message::Heartbeat) => _ = heartbeat.try_send(()),
-                    Ok(message) => {
-                        self.send_input(self.to_input(role, message)).await;
-                    }
-                    Err(MessageError::Malformed { kind, what }) => {
-                        let what = format!("malformed `{kind:.40}` message: {what}");
-                        self.send_input(self.invalid_message(role, what)).await;
-                    }
-                    Err(cause) => {
-                        return tracing::debug!(event = "unreadable_message", stream = self.stream.0, %cause);
-                    }
+                unfinished.ends_by = None;
+                if !self.handle_message(role, line, &heartbeat).await {
+                    return;
                 }
             }
             // Frees the capacity that a long line needed: hundreds of streams are open at once.
             if lines.buffer().is_empty() && lines.buffer().capacity() > MAX_BUFFER_BYTES {
                 *lines.buffer() = BytesMut::new();
             }
+            unfinished.update(lines.buffer().len(), &self.input_budget).await;
             lines.buffer().reserve(READ_RESERVE_BYTES);
-            match read.read_buf(lines.buffer()).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => self.connections.record_activity(self.stream, Instant::now()),
+            tokio::select! {
+                received = read.read_buf(lines.buffer()) => match received {
+                    Ok(0) | Err(_) => return,
+                    Ok(_) => self.connections.record_activity(self.stream, Instant::now()),
+                },
+                () = unfinished.timeout() => {
+                    return tracing::debug!(event = "unfinished_message", stream = self.stream.0);
+                }
+            }
+        }
+    }
+
+    /// Parses a message and passes it on. False if the stream is to end.
+    async fn handle_message(&self, role: PeerRole, line: BytesMut, heartbeat: &mpsc::Sender<()>) -> bool {
+        let catalog = Arc::clone(&self.catalog);
+        let parsed = self.input_budget.parse(line.len(), move || catalog.parse(&line)).await;
+        match parsed {
+            Some(Ok(Message::Heartbeat)) => _ = heartbeat.try_send(()),
+            Some(Ok(message)) => self.send_input(self.to_input(role, message)).await,
+            Some(Err(MessageError::Malformed { kind, what })) => {
+                let what = format!("malformed `{kind:.40}` message: {what}");
+                self.send_input(self.invalid_message(role, what)).await;
             }
+            Some(Err(cause)) => {
+                tracing::debug!(event = "unreadable_message", stream = self.stream.0, %cause);
+                return false;
+            }
+            None => return false,
         }
+        true
     }
 
     /// Sends an input to the engine. Never returns once the engine has ended, so that nothing more is read
@@ -271,6 +296,40 @@
     }
 }
 
+/// The message of which a connection has read a part.
+#[derive(Debug, Default)]
+struct UnfinishedMessage {
+    /// When it must be complete; `None` if nothing is unfinished.
+    ends_by: Option<Instant>,
+    /// Held while it is long.
+    permit: Option<LongMessagePermit>,
+}
+
+impl UnfinishedMessage {
+    /// Takes note of the bytes that are left in the buffer. Waits for a permit if the message becomes long.
+    async fn update(&mut self, bytes: usize, budget: &InputBudget) {
+        if bytes == 0 {
+            *self = Self::default();
+            return;
+        }
+        self.ends_by.get_or_insert_with(|| Instant::now() + MESSAGE_TIMEOUT);
+        if bytes <= MAX_SHORT_MESSAGE_BYTES {
+            self.permit = None;
+        } else if self.permit.is_none() {
+            self.permit = Some(budget.permit_long_message().await);
+            self.ends_by = Some(Instant::now() + LONG_MESSAGE_TIMEOUT);
+        }
+    }
+
+    /// Ends when the message should have been complete; never if nothing is unfinished.
+    async fn timeout(&self) {
+        match self.ends_by {
+            Some(ends_by) => sleep_until(ends_by).await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
 /// Writes the engine's messages and replies to heartbeats until the engine has sent its last message. True if
 /// all of it was written, false if a write failed.
 async fn write_messages(
--- a/crates/stepspur-platform/src/message.rs
+++ b/crates/stepspur-platform/src/message.rs
@@ -1,9 +1,11 @@
 //! Parser of the messages that proxies and collectors send: JSON lines of bounded length. Does no I/O.
 
+use std::fmt;
 use std::sync::Arc;
 
 use bytes::{Buf, BytesMut};
 use serde::Deserialize;
+use serde::de::{Deserializer, IgnoredAny, MapAccess, Visitor};
 use serde_json::{Map, Value};
 use stepspur::interface::{ClassId, Micros, ProxyId, ServerId, ZoneId};
 use stepspur_conductor::engine::named_id;
@@ -143,7 +145,7 @@
     /// [`MessageError::Malformed`] for a message to skip, [`MessageError::Unreadable`] if the stream is to
     /// end.
     pub fn parse(&self, line: &[u8]) -> Result<Message, MessageError> {
-        let object: Map<String, Value> =
+        let KnownFields(object) =
             serde_json::from_slice(line).map_err(|error| MessageError::Unreadable(error.to_string()))?;
         let kind = object.get("@type").and_then(Value::as_str).unwrap_or_default().to_owned();
         self.parse_object(&kind, object).map_err(|what| MessageError::Malformed { kind, what })
@@ -252,6 +254,43 @@
     }
 }
 
+/// Names of all fields of the messages.
+const FIELD_NAMES: [&str; 14] = [
+    "@type", "zone", "proxy", "weight", "fresh", "mark", "took_ms", "server", "tries", "failed", "mean_ms",
+    "span_ms", "load", "class",
+];
+
+/// The fields of a JSON object that a message may have. Others are skipped, so that they use no memory.
+struct KnownFields(Map<String, Value>);
+
+impl<'de> Deserialize<'de> for KnownFields {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(KnownFieldsVisitor)
+    }
+}
+
+struct KnownFieldsVisitor;
+
+impl<'de> Visitor<'de> for KnownFieldsVisitor {
+    type Value = KnownFields;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a map")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<KnownFields, A::Error> {
+        let mut fields = Map::new();
+        while let Some(name) = access.next_key::<String>()? {
+            if FIELD_NAMES.contains(&name.as_str()) {
+                fields.insert(name, access.next_value()?);
+            } else {
+                access.next_value::<IgnoredAny>()?;
+            }
+        }
+        Ok(KnownFields(fields))
+    }
+}
+
 #[derive(Deserialize)]
 struct Telemetry {
     zone: String,
