Bound the memory that long frames of all proxies together use

Operators saw a process pass its memory limit while hundreds of clients stopped inside a message. Cause: each stream could hold an unfinished frame of 1 MiB; nothing bounded all of them together. Change: a stream waits for one of 16 permits before it reads the body of a frame above 16 KiB, and returns it with the frame; a stream without a complete frame ends after three keepalive intervals, as before. The limits are shared with the platform's listener.

--- a/crates/stepspur-conductor/src/service/mod.rs
+++ b/crates/stepspur-conductor/src/service/mod.rs
@@ -15,6 +15,7 @@
 mod engine_tasks;
 mod error;
 mod identity;
+pub mod input_limits;
 mod linger;
 mod log_rate_limiter;
 mod operator;
--- a/crates/stepspur-conductor/src/service/session/mod.rs
+++ b/crates/stepspur-conductor/src/service/session/mod.rs
@@ -1,5 +1,6 @@
 //! The stream of a proxy. One task owns the socket, from the TLS handshake to the last frame.
 
+mod budgeted_read;
 mod reader;
 mod writer;
 
@@ -15,9 +16,10 @@
 use stepspur_proto::{Frames, FromConductor, FromProxy, encode_frame, from_proxy, v1};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::codec::FramedRead;
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::{CancellationToken, PollSemaphore};
 
 use super::clock::unix_now;
 use super::engine_handle::{EngineHandle, EnginesByTenant};
@@ -28,10 +30,11 @@
 use super::supervisor::Shutdown;
 use crate::config::Config;
 use crate::engine::{Input, StreamId};
+use budgeted_read::BudgetedRead;
 use reader::{StreamFault, StreamReader};
 use writer::{StreamWriter, WriteTimeout};
 
-type FrameReader<R> = FramedRead<R, Frames<FromProxy, FromConductor>>;
+type FrameReader<R> = FramedRead<BudgetedRead<R>, Frames<FromProxy, FromConductor>>;
 
 /// Minimum time from the first message to a rejection with `NotAllowed`. It is the same for every cause of
 /// such a rejection, so that the timing does not reveal the cause. An invalid frame is rejected at once.
@@ -53,6 +56,8 @@
     /// others with a go-away message. `kill` ends every stream and every rejection in progress, without
     /// waiting for queued frames.
     pub(super) shutdown: Shutdown,
+    /// Permits to read the body of a long frame.
+    pub(super) long_frames: Arc<Semaphore>,
 }
 
 /// The connection of a proxy.
@@ -123,7 +128,10 @@
         W: AsyncWrite + Unpin,
     {
         let listen = &self.context.config.listen;
-        let mut reader = FramedRead::new(read, Frames::new(listen.largest_first_frame));
+        let frames = Frames::new(listen.largest_first_frame);
+        let permits = PollSemaphore::new(Arc::clone(&self.context.long_frames));
+        let read = BudgetedRead::new(read, frames.incomplete_frame(), permits);
+        let mut reader = FramedRead::new(read, frames);
         let hello = match self.first_message(&mut reader).await {
             FirstMessage::Received(hello) => hello,
             FirstMessage::Invalid(detail) => {
--- a/crates/stepspur-conductor/src/service/start.rs
+++ b/crates/stepspur-conductor/src/service/start.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use stepspur_consensus_node::NodeHandle;
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
 use super::acceptor::{Acceptor, BoundListener};
@@ -17,6 +18,7 @@
 use super::engine_tasks::EngineTasks;
 use super::error::{StartError, TaskName};
 use super::identity::Identity;
+use super::input_limits::MAX_LONG_MESSAGES;
 use super::operator::{OperatorApi, OperatorServer};
 use super::session::SessionContext;
 use super::status::StatusHandles;
@@ -181,6 +183,7 @@
 
     fn start_acceptor(&self, bound: BoundListener, parts: &Parts) {
         let context = SessionContext {
+            long_frames: Arc::new(Semaphore::new(MAX_LONG_MESSAGES)),
             config: Arc::clone(&self.config),
             epoch: self.epoch,
             engines: Arc::clone(&parts.engines),
--- a/crates/stepspur-platform/src/input_budget.rs
+++ b/crates/stepspur-platform/src/input_budget.rs
@@ -8,13 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stepspur_conductor::service::input_limits::{MAX_LONG_MESSAGES, MAX_SHORT_MESSAGE_BYTES};
 use tokio::sync::{Mutex, OwnedSemaphorePermit, Semaphore};
 
-/// Longest message that needs no permit, in bytes.
-pub(crate) const MAX_SHORT_MESSAGE_BYTES: usize = 16 << 10;
-/// Number of connections that may hold a part of a long message at a time. Each uses up to twice
-/// [`MAX_MESSAGE_BYTES`](crate::message::MAX_MESSAGE_BYTES), as buffers grow by doubling.
-const MAX_LONG_MESSAGES: usize = 16;
 /// Time from the first byte of a message to its end, or to its permit.
 pub(crate) const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time from the permit of a long message to its end.
--- a/crates/stepspur-platform/src/listener.rs
+++ b/crates/stepspur-platform/src/listener.rs
@@ -8,6 +8,7 @@
 
 use bytes::BytesMut;
 use stepspur_conductor::engine::{Input, RequestCounts, StreamId};
+use stepspur_conductor::service::input_limits::MAX_SHORT_MESSAGE_BYTES;
 use stepspur_conductor::service::{
     EngineHandle, Listener, OutboundMessage, QueueLimits, SendQueueReceiver, Shutdown, lingering_close,
 };
@@ -21,9 +22,7 @@
 
 use crate::connections::{ConnectionLimits, Connections};
 use crate::handshake::{HEARTBEAT_REPLY, Handshake, PeerRole, READ_RESERVE_BYTES, Socket};
-use crate::input_budget::{
-    InputBudget, LONG_MESSAGE_TIMEOUT, LongMessagePermit, MAX_SHORT_MESSAGE_BYTES, MESSAGE_TIMEOUT,
-};
+use crate::input_budget::{InputBudget, LONG_MESSAGE_TIMEOUT, LongMessagePermit, MESSAGE_TIMEOUT};
 use crate::message::{Catalog, LineBuffer, MAX_MESSAGE_BYTES, Message, MessageError};
 
 /// Longest time that a graceful close waits for the peer.
--- a/crates/stepspur-proto/src/frame.rs
+++ b/crates/stepspur-proto/src/frame.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::marker::PhantomData;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use prost::Message;
@@ -67,17 +69,38 @@
     Ok(M::decode(body)?)
 }
 
+/// The frame of which a decoder has received a part.
+#[derive(Clone, Debug, Default)]
+pub struct IncompleteFrame(Arc<AtomicUsize>);
+
+impl IncompleteFrame {
+    /// Body length of the frame in bytes; 0 if there is none, or its length is not received yet.
+    pub fn body_bytes(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, body_bytes: usize) {
+        self.0.store(body_bytes, Ordering::Relaxed);
+    }
+}
+
 /// The codec of one side of a connection: decodes messages `In` and encodes messages `Out`.
 #[derive(Debug)]
 pub struct Frames<In, Out> {
     max_frame_bytes: usize,
+    incomplete: IncompleteFrame,
     kinds: PhantomData<fn(In) -> Out>,
 }
 
 impl<In, Out> Frames<In, Out> {
     /// Creates a codec with a maximum body length of `max_frame_bytes` bytes in both directions.
     pub fn new(max_frame_bytes: usize) -> Self {
-        Self { max_frame_bytes, kinds: PhantomData }
+        Self { max_frame_bytes, incomplete: IncompleteFrame::default(), kinds: PhantomData }
+    }
+
+    /// Returns a handle that tells of which frame a part has been received.
+    pub fn incomplete_frame(&self) -> IncompleteFrame {
+        self.incomplete.clone()
     }
 
     /// Changes the maximum body length to `max_frame_bytes` bytes, for all later frames.
@@ -98,9 +121,11 @@
             return Err(FrameError::TooLarge { size, max: self.max_frame_bytes });
         }
         if from.len() < LENGTH_FIELD_BYTES + size {
+            self.incomplete.set(size);
             from.reserve(LENGTH_FIELD_BYTES + size - from.len());
             return Ok(None);
         }
+        self.incomplete.set(0);
         from.advance(LENGTH_FIELD_BYTES);
         Ok(Some(In::decode(from.split_to(size).freeze())?))
     }
--- a/crates/stepspur-proto/src/lib.rs
+++ b/crates/stepspur-proto/src/lib.rs
@@ -13,7 +13,8 @@
 
 pub use address::{InvalidAddress, server_address};
 pub use frame::{
-    DEFAULT_MAX_FRAME_BYTES, FrameError, Frames, LENGTH_FIELD_BYTES, decode_frame, encode_frame,
+    DEFAULT_MAX_FRAME_BYTES, FrameError, Frames, IncompleteFrame, LENGTH_FIELD_BYTES, decode_frame,
+    encode_frame,
 };
 
 /// The message types that are generated from `proto/proxy.proto`.
