--- a/crates/stepspur-platform/tests/common/stand_in.rs
+++ b/crates/stepspur-platform/tests/common/stand_in.rs
@@ -95,6 +95,8 @@
 pub(crate) trait Conductor {
     /// Passes an input that reaches the conductor at `now`.
     fn pass(&mut self, now: u64, input: Input);
+    /// Tells it a change of the list, with the entries that changed.
+    fn change_list(&mut self, now: u64, entries: &[Value]);
     /// The next message that it has written by `now`, and its stream.
     fn poll(&mut self, now: u64) -> Option<(StreamId, String)>;
 }
@@ -135,6 +137,11 @@
         self.handle(now, input);
     }
 
+    fn change_list(&mut self, now: u64, entries: &[Value]) {
+        let update: EndpointListUpdate = serde_json::from_value(list(1, false, entries)).unwrap();
+        self.handle(now, Input::EndpointList { update: ListUpdate::Delta, entries: update.entries });
+    }
+
     fn poll(&mut self, now: u64) -> Option<(StreamId, String)> {
         loop {
             if let Output::Send { stream, frame } = Engine::poll(self, now)? {
@@ -291,7 +298,7 @@
     name[2..].parse().unwrap()
 }
 
-fn server_name(number: usize) -> String {
+pub(crate) fn server_name(number: usize) -> String {
     format!("s-{number:04}")
 }
 
@@ -471,8 +478,9 @@
         }
         self.list_changed_at = self.now;
         let entries = self.entries(change.iter().map(|(number, _)| *number));
-        let update: EndpointListUpdate = serde_json::from_value(list(1, false, &entries)).unwrap();
-        self.handle(Input::EndpointList { update: ListUpdate::Delta, entries: update.entries });
+        if let Some(conductor) = &mut self.conductor {
+            conductor.change_list(self.now, &entries);
+        }
     }
 
     fn handle(&mut self, input: Input) {
