Bound what may wait in the channel by the time in which removals must arrive

Cause: decisions rested on a count that left lines out (restore, ejections in complete tables, operators' levels, lines to streams that the conductor ended), on a part of the limit whatever time it takes, and on no cost of a table's length. Tables widened beside warming servers had up to all servers; each new line brought a restore. Change: the count is replaced by that of the messages as they are made; a line's restore is counted before it is sent; less urgent changes may wait only as far as the present throughput carries them within the shortest time limit, less a message's delay; tables are extended only as far as removals of all their lines arrive in time, and admission bounds the rest; the most urgent changes of all tables go first, in parts if need be; ejections at waiting proxies only where they cost less than the tables. Lines to streams that the conductor ends stay counted.

--- a/crates/stepspur-conductor/src/engine/connect.rs
+++ b/crates/stepspur-conductor/src/engine/connect.rs
@@ -154,7 +154,12 @@
     }
 
     /// Disconnects a stream's proxy and closes the stream with a reason.
+    ///
+    /// What waits for the proxy in the channel stays counted, unless the proxy itself has left that stream.
     pub(super) fn terminate(&mut self, now: Micros, stream: StreamId, reason: v1::Reason, detail: &str) {
+        if let Some(proxy) = self.streams.proxy(stream).filter(|_| reason != v1::Reason::Replaced) {
+            self.policy.record_closed_stream(proxy);
+        }
         self.disconnect(now, stream);
         self.close(stream, GoAway { reason, detail, retry_after: 0 });
     }
--- a/crates/stepspur-conductor/src/engine/endpoints/known.rs
+++ b/crates/stepspur-conductor/src/engine/endpoints/known.rs
@@ -16,6 +16,9 @@
     /// The newest valid entry of the list.
     pub(super) entry: DiscoveredEndpoint,
     pub(super) start: StartTime,
+    /// True once it was listed as draining or removed, or with a start, or was omitted from a complete list:
+    /// proxies may have it ejected by another conductor or by an earlier run of this one.
+    pub(super) possibly_ejected: bool,
     /// When the list removed the server; `None` while it is listed.
     pub(super) removed_at: Option<Micros>,
 }
--- a/crates/stepspur-conductor/src/engine/endpoints/merge.rs
+++ b/crates/stepspur-conductor/src/engine/endpoints/merge.rs
@@ -85,7 +85,7 @@
         }
         let merged = self.merged_endpoint(now, server, entry);
         draft.entries.push(self.effective_entry(server, &merged));
-        if merged.entry.started > 0 || merged.entry.state != EndpointState::Ready {
+        if merged.possibly_ejected {
             draft.possibly_ejected.push(server);
         }
         self.servers.insert(server, merged);
@@ -95,16 +95,18 @@
     /// known start remains; otherwise the server has restarted.
     fn merged_endpoint(&self, now: Micros, server: ServerId, entry: DiscoveredEndpoint) -> KnownEndpoint {
         let removed_at = (entry.state == EndpointState::Removed).then_some(now);
-        match self.servers.get(&server).filter(|known| known.has_same_start(entry.started)) {
-            Some(known) => {
-                let entry = DiscoveredEndpoint { started: known.entry.started, ..entry };
-                KnownEndpoint { entry, start: known.start, removed_at }
-            }
+        let known = self.servers.get(&server);
+        let was_possibly_ejected = known.is_some_and(|known| known.possibly_ejected);
+        let (entry, start) = match known.filter(|known| known.has_same_start(entry.started)) {
+            Some(known) => (DiscoveredEndpoint { started: known.entry.started, ..entry }, known.start),
             None => {
                 let start = StartTime::from_listed(entry.started, self.clock_offset, now);
-                KnownEndpoint { entry, start, removed_at }
+                (entry, start)
             }
-        }
+        };
+        let possibly_ejected =
+            was_possibly_ejected || entry.started > 0 || entry.state != EndpointState::Ready;
+        KnownEndpoint { entry, start, possibly_ejected, removed_at }
     }
 
     /// Marks the servers that a complete list omits as removed.
@@ -114,6 +116,7 @@
                 continue;
             }
             draft.possibly_ejected.push(*server);
+            known.possibly_ejected = true;
             known.entry.state = EndpointState::Removed;
             known.removed_at.get_or_insert(now);
         }
--- a/crates/stepspur-conductor/src/engine/endpoints/store.rs
+++ b/crates/stepspur-conductor/src/engine/endpoints/store.rs
@@ -108,7 +108,14 @@
         let overridden = self.overrides.get(&server).copied();
         let state = overridden.filter(|state| is_later_in_lifecycle(*state, listed)).unwrap_or(listed);
         let zone = self.zone(&known.entry.zone).unwrap_or_default();
-        Endpoint { server, started_at: known.start.at, zone, state, weight: known.entry.weight }
+        Endpoint {
+            server,
+            started_at: known.start.at,
+            zone,
+            state,
+            weight: known.entry.weight,
+            possibly_ejected: known.possibly_ejected,
+        }
     }
 }
 
--- a/crates/stepspur-conductor/src/engine/operate.rs
+++ b/crates/stepspur-conductor/src/engine/operate.rs
@@ -59,6 +59,7 @@
             return Err(OperationError::NotRatioBased);
         }
         let updates = self.tables.cap_admission(ClassId(index as u8), ratio as f32, now);
+        self.policy.record_messages(None, self.message_lines(&updates));
         self.enqueue_updates(now, updates);
         Ok(())
     }
--- a/crates/stepspur-conductor/src/engine/schedule.rs
+++ b/crates/stepspur-conductor/src/engine/schedule.rs
@@ -1,7 +1,9 @@
 //! The engine's scheduled work: closes overdue streams, passes batches to the decision module and sends
 //! messages.
 
-use stepspur::interface::{Action, Event, Micros, ServerId};
+use std::collections::BTreeMap;
+
+use stepspur::interface::{Action, Event, Micros, ProxyId, ServerId};
 use stepspur_proto::v1;
 
 use super::channel::Message;
@@ -84,9 +86,24 @@
             self.execute(now, action);
         }
         let updates = self.tables.apply(&actions, now);
+        let nonce = actions.iter().find_map(|action| match action {
+            Action::RequestAck { nonce } => Some(*nonce),
+            _ => None,
+        });
+        self.policy.record_messages(nonce, self.message_lines(&updates));
         self.enqueue_updates(now, updates);
     }
 
+    /// Returns the lines of the messages that these updates are sent as, with their overhead, by recipient.
+    pub(super) fn message_lines(&self, updates: &[AddressedUpdate]) -> BTreeMap<ProxyId, f64> {
+        let mut lines = BTreeMap::new();
+        for AddressedUpdate { recipients, update } in updates {
+            let message = update.line_count() as f64 + self.config.channel.message_head;
+            recipients.iter().for_each(|proxy| *lines.entry(*proxy).or_default() += message);
+        }
+        lines
+    }
+
     /// Carries out an action that does not change tables.
     fn execute(&mut self, now: Micros, action: &Action) {
         match action {
--- a/crates/stepspur-conductor/src/engine/state.rs
+++ b/crates/stepspur-conductor/src/engine/state.rs
@@ -82,6 +82,7 @@
         seed: u64,
         now: Micros,
     ) -> Self {
+        let settings = Settings { ejections_persist: protocol.ejections_persist(), ..settings };
         let no_endpoints = Event::EndpointList { update: ListUpdate::Cached, entries: [].into() };
         let mass_removal_guard = config.source.mass_removal_guard().clone();
         let report_period = micros(config.reports.gather);
@@ -89,7 +90,7 @@
         Self {
             epoch,
             sequence: 0,
-            tables: Tables::new(settings.admission_mode, protocol.ejections_persist()),
+            tables: Tables::new(settings.admission_mode, settings.ejections_persist),
             protocol,
             policy: Policy::new(settings, seed, now),
             batch: vec![no_endpoints],
--- a/crates/stepspur-simulator-protocol/src/frame.rs
+++ b/crates/stepspur-simulator-protocol/src/frame.rs
@@ -307,7 +307,8 @@
         };
         let server = self.server()?;
         self.u16("block")?;
-        Ok(Endpoint { server, started_at: started, zone, state, weight: f64::from(self.f32("heft")?) })
+        let weight = f64::from(self.f32("heft")?);
+        Ok(Endpoint { server, started_at: started, zone, state, weight, possibly_ejected: false })
     }
 
     /// Returns the error for an undefined value of a field.
--- a/crates/stepspur-simulator-protocol/src/settings.rs
+++ b/crates/stepspur-simulator-protocol/src/settings.rs
@@ -90,6 +90,8 @@
     #[serde(default)]
     single_writer: bool,
     slices: u16,
+    #[serde(default)]
+    unserved_max_us: f64,
     update_window_us: f64,
 }
 
@@ -112,6 +114,8 @@
     start_capacity: f64,
     #[serde(default)]
     drain_binds_alone: bool,
+    #[serde(default)]
+    drain_grace_us: f64,
 }
 
 /// Parses the settings of a `provision` record.
@@ -143,6 +147,9 @@
         message_window: family.update_window_us as u64,
         min_server_connections: family.min_conn_cap,
         max_message_delay: family.push_delay_max_us as u64,
+        drain_grace: raw.rules.drain_grace_us as u64,
+        unserved_limit: family.unserved_max_us as u64,
+        ejections_persist: false,
         report_period: family.interval_us as u64,
         shard_count: family.slices,
         single_writer: family.single_writer,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -118,6 +118,13 @@
     pub min_server_connections: f64,
     /// Upper bound of a message's delay from the channel to the proxy.
     pub max_message_delay: Micros,
+    /// Time within which proxies must stop sending to a server that drains or is removed; 0: unknown.
+    pub drain_grace: Micros,
+    /// Upper bound of the time for which a connected proxy may have no usable server; 0: unknown.
+    pub unserved_limit: Micros,
+    /// True: proxies keep an ejection when they receive a new table, so that a message must end it where a
+    /// server is added.
+    pub ejections_persist: bool,
     /// Interval between the reports of a proxy.
     pub report_period: Micros,
     /// Number of shards; 0: the deployment is not sharded, and tables are by zone or shared.
@@ -163,6 +170,10 @@
     pub state: EndpointState,
     /// Its capacity relative to other servers; values that are not finite and above 0 count as 1.
     pub weight: f64,
+    /// True: proxies may still have it ejected, by another instance or an earlier run. Where
+    /// [`Settings::ejections_persist`], a line that adds it to a table is then followed by one that ends the
+    /// ejection.
+    pub possibly_ejected: bool,
 }
 
 /// How an update of the endpoint list relates to the list before it.
--- a/src/policy/channel/tests.rs
+++ b/src/policy/channel/tests.rs
@@ -7,20 +7,20 @@
 fn only_acknowledgements_reduce_the_lines_in_flight() {
     let mut channel = ChannelQueue::default();
     for _ in 0..3 {
-        channel.begin_decision();
+        channel.begin_decision(0);
         (0..4).for_each(|proxy| channel.enqueue(ProxyId(proxy), 10.0));
         assert!(channel.finish_decision().is_some());
     }
     assert_eq!(channel.lines_in_flight(), 120.0);
-    channel.begin_decision();
+    channel.begin_decision(0);
     assert_eq!((channel.finish_decision(), channel.lines_in_flight()), (None, 120.0));
-    channel.acknowledge(ProxyId(1), 2);
+    channel.acknowledge(0, ProxyId(1), 2);
     assert_eq!(channel.lines_in_flight(), 70.0, "all earlier decisions, and this message");
-    channel.acknowledge(ProxyId(1), 1);
+    channel.acknowledge(0, ProxyId(1), 1);
     assert_eq!(channel.lines_in_flight(), 70.0, "an old acknowledgement changes nothing");
     channel.disconnect(ProxyId(3));
     assert_eq!(channel.lines_in_flight(), 50.0);
-    channel.acknowledge(ProxyId(0), 77);
-    [0, 1, 2].iter().for_each(|proxy| channel.acknowledge(ProxyId(*proxy), 3));
+    channel.acknowledge(0, ProxyId(0), 77);
+    [0, 1, 2].iter().for_each(|proxy| channel.acknowledge(0, ProxyId(*proxy), 3));
     assert_eq!(channel.lines_in_flight(), 0.0);
 }
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -81,6 +81,7 @@
         let listed: BTreeSet<_> = entries.iter().map(|entry| entry.server).collect();
         for server in self.servers.values_mut().filter(|server| !listed.contains(&server.id())) {
             server.removed_at.get_or_insert(self.now);
+            server.endpoint.possibly_ejected = true;
             if !self.settings.absence_is_advisory {
                 server.endpoint.state = EndpointState::Removed;
             }
@@ -115,6 +116,7 @@
             return;
         }
         server.removed_at.get_or_insert(self.now);
+        server.endpoint.possibly_ejected |= entry.possibly_ejected;
         if !absence_is_advisory {
             server.endpoint = entry;
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,6 +28,8 @@
 mod subset;
 mod table;
 mod table_plan;
+mod throughput;
+mod update_size;
 mod warming_load;
 mod zone_local;
 
@@ -93,6 +95,7 @@
     /// Creates an instance without endpoints, proxies or tables that starts at `now`. The seed is unused, as
     /// no decision is random.
     pub fn new(settings: Settings, _seed: u64, now: Micros) -> Self {
+        let channel = ChannelQueue::new(settings.channel_lines_per_second, settings.max_message_delay);
         let first_poll_at = settings.poll_discovery.then_some(now);
         Policy {
             settings,
@@ -114,7 +117,7 @@
             outlier_detection: OutlierDetection::default(),
             admission: AdmissionController::default(),
             zone_aware: false,
-            channel: ChannelQueue::default(),
+            channel,
             route_gaps: RouteGaps::default(),
             others_carry_the_load: true,
             warming_servers_overloaded: false,
@@ -124,7 +127,7 @@
     /// Applies a batch of events that arrived by `now` and returns the actions to take, in order.
     pub fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
         self.now = now;
-        self.channel.begin_decision();
+        self.channel.begin_decision(now);
         for event in events {
             self.handle_event(event);
         }
@@ -133,7 +136,8 @@
         if round_due {
             self.run_round();
         }
-        if round_due || self.tables_outdated {
+        let tables_due = round_due || self.tables_outdated;
+        if tables_due {
             self.tables_outdated = false;
             self.update_tables();
         }
@@ -144,6 +148,23 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Records the size of the messages that were made of the newest decision, in lines with their overhead,
+    /// in place of its own reckoning. With another nonce, or none, the messages are others' and are added.
+    pub fn record_messages(&mut self, nonce: Option<u16>, messages: BTreeMap<ProxyId, f64>) {
+        self.channel.record_messages(self.now, nonce, messages);
+    }
+
+    /// Records that the conductor closes a proxy's stream: its lines still use the channel. The event of the
+    /// disconnection follows.
+    pub fn record_closed_stream(&mut self, proxy: ProxyId) {
+        self.channel.close_stream(proxy);
+    }
+
+    /// The lines that may still wait in the channel to the proxies.
+    pub fn lines_in_flight(&self) -> f64 {
+        self.channel.lines_in_flight()
+    }
+
     /// Updates load, server health, ejections, probes and admission, and schedules the next round.
     fn run_round(&mut self) {
         let elapsed = self.now.saturating_sub(self.next_round_at) + ROUND_PERIOD;
@@ -170,6 +191,8 @@
             self.update_warming_exclusion();
             self.update_subsets();
             self.publish_tables();
+            self.eject_at_waiting_proxies();
+            self.log_route_gaps();
         }
     }
 
@@ -186,7 +209,7 @@
             }
             Event::ProxyDisconnected { proxy } => self.disconnect_proxy(*proxy),
             Event::Acknowledged { proxy, nonce, .. } => {
-                self.channel.acknowledge(*proxy, *nonce);
+                self.channel.acknowledge(self.now, *proxy, *nonce);
                 self.confirm_shard_removals(*proxy, *nonce);
             }
             Event::UpstreamStats { server, zone, period, attempts, failed_attempts, latency, load } => {
--- a/src/policy/publish.rs
+++ b/src/policy/publish.rs
@@ -6,7 +6,7 @@
 use super::flow_control::Urgency;
 use super::table::{ClassAdmission, Table};
 use super::table_plan::{PlanStep, TablePlan};
-use crate::interface::{Action, ClassId, ProxyId, RetryPolicy, ServerId, TableId};
+use crate::interface::{Action, ClassId, Micros, ProxyId, RetryPolicy, ServerId, TableId};
 
 /// A weight is sent only if it changes by more than this ratio of the largest planned weight of its table,
 /// unless its server is added or removed, or it is cut below [`URGENT_CUT_RATIO`]. An admission level is sent
@@ -23,64 +23,88 @@
 /// A change of one server's weight in a table.
 struct WeightChange {
     server: ServerId,
+    /// Lines of the change at each proxy.
+    lines: usize,
     /// The new weight; 0 removes the server.
     weight: f64,
     urgency: Urgency,
 }
 
-/// The changes of a table that are due.
+/// The changes of a table that are due and not sent yet.
 struct TableChanges {
+    table: TableId,
+    /// The proxies that are assigned to the table.
+    proxies: BTreeSet<ProxyId>,
+    /// When the table last changed before this decision.
+    changed_at: Micros,
     weights: Vec<WeightChange>,
     admission: BTreeMap<ClassId, ClassAdmission>,
     admission_urgency: Urgency,
 }
 
-impl TableChanges {
-    fn line_count(&self) -> usize {
-        self.weights.len() + self.admission.len()
-    }
+/// The part of a table's changes that is sent at once.
+struct SentChanges {
+    weights: Vec<WeightChange>,
+    admission: BTreeMap<ClassId, ClassAdmission>,
+    lines: usize,
+}
 
-    /// The urgency of the most urgent change.
-    fn urgency(&self) -> Urgency {
-        let weights = self.weights.iter().map(|change| change.urgency).max();
-        weights.unwrap_or(Urgency::Routine).max(self.admission_urgency)
+impl TableChanges {
+    /// Takes out the changes of this urgency or above, as many as have no more than `max_lines` lines: levels
+    /// first, then weights in their order.
+    fn take(&mut self, urgency: Urgency, max_lines: usize) -> SentChanges {
+        let mut taken = SentChanges { weights: Vec::new(), admission: BTreeMap::new(), lines: 0 };
+        if self.admission_urgency >= urgency && self.admission.len() <= max_lines {
+            taken.admission = std::mem::take(&mut self.admission);
+            taken.lines = taken.admission.len();
+        }
+        for change in std::mem::take(&mut self.weights) {
+            if change.urgency >= urgency && taken.lines + change.lines <= max_lines {
+                taken.lines += change.lines;
+                taken.weights.push(change);
+            } else {
+                self.weights.push(change);
+            }
+        }
+        taken
     }
 }
 
 impl Policy {
-    /// Plans all tables and sends their changes, as far as flow control permits, then ejections at proxies.
+    /// Plans all tables and sends their changes, as far as flow control permits: the most urgent ones of all
+    /// tables first. Changes that are not sent are planned again in the next round.
     pub(super) fn publish_tables(&mut self) {
         let admitted_ratios = self.admitted_ratios();
+        let mut changes = Vec::new();
         for plan in self.plan_tables() {
-            self.publish_table(&plan, &admitted_ratios);
+            self.tables.entry(plan.table).or_default().plan_step = plan.step;
+            changes.push(self.table_changes(&plan, &admitted_ratios));
+        }
+        for urgency in Urgency::OF_CHANGES {
+            for table in &mut changes {
+                self.send_due_changes(table, urgency);
+            }
         }
-        self.eject_at_proxies();
-        self.log_route_gaps();
     }
 
-    /// Sends the changes of a table in one message. If flow control does not permit that, it tries the weight
-    /// changes of urgency `Fault` and above, then those of urgency `Critical`; each time with all changes of
-    /// admission. Changes that are not sent are planned again in the next round.
-    fn publish_table(&mut self, plan: &TablePlan, admitted_ratios: &[f64]) {
-        let id = plan.table;
-        let table = self.tables.entry(id).or_default();
-        table.plan_step = plan.step;
-        let proxies = table.proxies.clone();
-        let changed_at = table.changed_at;
-        let mut changes = self.table_changes(plan, admitted_ratios);
-        for min_urgency in [Urgency::Routine, Urgency::Fault, Urgency::Critical] {
-            changes.weights.retain(|change| change.urgency >= min_urgency);
-            let lines = changes.line_count();
-            if lines > 0 && self.may_send(changes.urgency(), changed_at, &proxies, lines) {
-                self.send_changes(id, &proxies, &changes);
-                return;
-            }
+    /// Sends the changes of a table of this urgency or above, as many as flow control permits now.
+    fn send_due_changes(&mut self, changes: &mut TableChanges, urgency: Urgency) {
+        let max_lines = self.sendable_lines(urgency, &changes.proxies);
+        let due = changes.take(urgency, max_lines);
+        if due.lines == 0 {
+            return;
+        }
+        if self.may_send(urgency, changes.changed_at, &changes.proxies, due.lines) {
+            self.send_changes(changes.table, &changes.proxies, &due);
+        } else {
+            changes.weights.extend(due.weights);
+            changes.admission.extend(due.admission);
         }
     }
 
     /// Sends changes of a table to its proxies and records them as published.
-    fn send_changes(&mut self, table: TableId, proxies: &BTreeSet<ProxyId>, changes: &TableChanges) {
-        self.record_sent(proxies, changes.line_count());
+    fn send_changes(&mut self, table: TableId, proxies: &BTreeSet<ProxyId>, changes: &SentChanges) {
+        self.record_sent(proxies, changes.lines);
         for WeightChange { server, weight, .. } in &changes.weights {
             let action = Action::SetWeight { table, server: *server, weight: *weight as f32 };
             self.actions.push(action);
@@ -109,16 +133,25 @@
         });
         let sheds_more = admission.iter().any(|(class, new)| new.level < table.sent_admission(*class).level);
         let admission_urgency = if sheds_more { Urgency::Fault } else { Urgency::Routine };
-        TableChanges { weights: self.weight_changes(table, plan), admission, admission_urgency }
+        TableChanges {
+            table: plan.table,
+            proxies: table.proxies.clone(),
+            changed_at: table.changed_at,
+            weights: self.weight_changes(table, plan),
+            admission,
+            admission_urgency,
+        }
     }
 
-    /// The changes of weight that bring a table to its plan, removals first.
+    /// The changes of weight that bring a table to its plan, removals first. Servers that are added while
+    /// others drain or are removed replace these, and are as urgent as the reaction to a fault.
     fn weight_changes(&self, table: &Table, plan: &TablePlan) -> Vec<WeightChange> {
         let mut changes = Vec::new();
         for server in table.weights.keys().filter(|server| !plan.weights.contains_key(server)) {
             let urgency = self.removal_urgency(*server);
-            changes.push(WeightChange { server: *server, weight: 0.0, urgency });
+            changes.push(WeightChange { server: *server, lines: 1, weight: 0.0, urgency });
         }
+        let loses_servers = changes.iter().any(|change| change.urgency == Urgency::Critical);
         let unserved_zones = self.zones_without_kept_server(table, plan);
         let is_in_unserved_zone =
             |id| self.servers.get(id).is_some_and(|server| unserved_zones.contains(&server.zone()));
@@ -132,15 +165,16 @@
             if old != 0.0 && !is_urgent_cut && !is_large {
                 continue;
             }
-            let spares_warming_servers = old == 0.0 && plan.step == PlanStep::Widened;
+            let is_due_addition = old == 0.0 && (loses_servers || plan.step == PlanStep::Widened);
             let urgency = if table.weights.is_empty() || is_in_unserved_zone(server) {
                 Urgency::Critical
-            } else if is_urgent_cut || spares_warming_servers {
+            } else if is_urgent_cut || is_due_addition {
                 Urgency::Fault
             } else {
                 Urgency::Routine
             };
-            changes.push(WeightChange { server: *server, weight: *weight, urgency });
+            let lines = self.weight_lines(*server, old, *weight);
+            changes.push(WeightChange { server: *server, lines, weight: *weight, urgency });
         }
         changes
     }
@@ -155,21 +189,18 @@
         }
     }
 
-    /// Assigns waiting proxies to their tables until flow control permits no more. No proxy is assigned to an
-    /// empty table, or to one that lacks servers for its zone-local classes.
+    /// Assigns waiting proxies to their tables until the channel's queue has no space for more. No proxy is
+    /// assigned to an empty table, or to one that lacks servers for its zone-local classes, or while it has
+    /// got its messages of the window.
     pub(super) fn assign_tables(&mut self) {
         for proxy in self.unassigned_proxies.clone() {
-            let record = &self.proxies[&proxy];
-            let id = self.table_of(record.subset);
-            let Some(table) = self.tables.get(&id).filter(|table| !table.weights.is_empty()) else {
-                continue;
-            };
-            if self.lacks_local_server(table, record.zone) {
+            let Some(id) = self.assignable_table(proxy) else { continue };
+            let lines = self.table_lines(&self.tables[&id]);
+            let receiver = BTreeSet::from([proxy]);
+            if !self.is_within_message_limit(Urgency::Assignment, &receiver) {
                 continue;
             }
-            let lines = table.weights.len() + table.admission.len() + 1;
-            let receiver = BTreeSet::from([proxy]);
-            if !self.may_send(Urgency::Fault, 0, &receiver, lines) {
+            if !self.may_send(Urgency::Assignment, 0, &receiver, lines) {
                 break;
             }
             self.actions.push(Action::AssignTable { proxy, table: id });
@@ -178,16 +209,25 @@
         }
     }
 
-    /// Ejects servers that drain or are removed directly at the proxies, while any proxy waits for its table.
-    /// The ejection ends when the server is ready again.
+    /// The table that a waiting proxy can be assigned to now; `None` if that has no servers for it.
+    fn assignable_table(&self, proxy: ProxyId) -> Option<TableId> {
+        let record = &self.proxies[&proxy];
+        let id = self.table_of(record.subset);
+        let table = self.tables.get(&id).filter(|table| !table.weights.is_empty())?;
+        (!self.lacks_local_server(table, record.zone)).then_some(id)
+    }
+
+    /// Ejects servers that drain or are removed directly at the proxies, while any proxy has to wait for its
+    /// table and the ejections cost less than that table. The ejection ends when the server is ready again.
     ///
     /// Guards against requests to such servers from proxies that still route by an outdated table. Cost: none
     /// known.
-    fn eject_at_proxies(&mut self) {
-        let waiting = &self.unassigned_proxies;
+    pub(super) fn eject_at_waiting_proxies(&mut self) {
+        let draining = self.servers.values().filter(|server| !server.is_ready()).count();
+        let begins = !self.can_assign_all_now() && self.ejections_cost_less_than_tables(draining);
         let mut changing = Vec::new();
         for server in self.servers.values() {
-            let eject = !server.is_ready() && (server.ejected_at_proxies || !waiting.is_empty());
+            let eject = !server.is_ready() && (server.ejected_at_proxies || begins);
             if eject != server.ejected_at_proxies {
                 changing.push(server.id());
             }
@@ -207,6 +247,29 @@
         }
     }
 
+    /// True: flow control permits to assign all waiting proxies to their tables by this decision.
+    fn can_assign_all_now(&self) -> bool {
+        let mut lines = 0.0;
+        for proxy in &self.unassigned_proxies {
+            let Some(table) = self.assignable_table(*proxy) else { return false };
+            if !self.is_within_message_limit(Urgency::Assignment, &BTreeSet::from([*proxy])) {
+                return false;
+            }
+            lines += self.table_lines(&self.tables[&table]) as f64 + self.message_overhead();
+        }
+        self.has_queue_space(Urgency::Assignment, lines)
+    }
+
+    /// True: a proxy waits for its table, and this many ejections have fewer lines than that table, or there
+    /// is none yet.
+    fn ejections_cost_less_than_tables(&self, ejections: usize) -> bool {
+        let costs_less = |proxy: &ProxyId| {
+            let table = self.assignable_table(*proxy);
+            table.is_none_or(|table| ejections < self.table_lines(&self.tables[&table]))
+        };
+        self.unassigned_proxies.iter().any(costs_less)
+    }
+
     /// Proxies that wait for their table, and those whose table still contains one of the servers, as flow
     /// control may delay its removal.
     fn proxies_that_may_use(&self, servers: &[ServerId]) -> BTreeSet<ProxyId> {
--- a/src/policy/table_plan.rs
+++ b/src/policy/table_plan.rs
@@ -221,12 +221,24 @@
             step = PlanStep::Widened;
         }
         if servers.is_empty() {
-            servers = self.servers.values().filter(|server| server.is_ready()).collect();
+            servers = self.panic_servers(demand);
             step = PlanStep::Panic;
         }
         ChosenServers { servers, step }
     }
 
+    /// The ready servers, usable or not; in tables by zone up to [`Policy::max_extended_length`]. Their start
+    /// in the list differs by table, so that tables contain different ones.
+    fn panic_servers(&self, demand: &TableDemand) -> Vec<&Server> {
+        let mut ready: Vec<&Server> = self.servers.values().filter(|server| server.is_ready()).collect();
+        if self.zone_aware {
+            let start = usize::from(demand.subset.0) * SPILL_OVER_START_STRIDE % ready.len().max(1);
+            ready.rotate_left(start);
+            ready.truncate(self.max_extended_length());
+        }
+        ready
+    }
+
     /// True: there are no servers, or some are in slow start and the load is above [`SPILL_OVER_RATIO`] times
     /// their weight.
     fn needs_spill_over(&self, chosen: &[&Server], load: f64) -> bool {
@@ -279,11 +291,13 @@
         others.filter(|server| self.is_usable(server, self.judging_zone(server, table))).collect()
     }
 
-    /// Adds these servers in their order while the weight of `chosen` is below the load.
+    /// Adds these servers in their order while the weight of `chosen` is below the load, up to
+    /// [`Policy::max_extended_length`].
     fn add_until_covered<'a>(&self, others: Vec<&'a Server>, load: f64, chosen: &mut Vec<&'a Server>) {
         let mut weight: f64 = chosen.iter().map(|server| self.effective_weight(server)).sum();
+        let max_length = self.max_extended_length();
         for server in others {
-            if weight >= load {
+            if weight >= load || chosen.len() >= max_length {
                 break;
             }
             weight += self.effective_weight(server);
