--- a/crates/stepspur-conductor/src/engine/connect.rs
+++ b/crates/stepspur-conductor/src/engine/connect.rs
@@ -146,6 +146,7 @@
         let Some(proxy) = self.streams.disconnect(stream) else { return };
         self.channel.remove_stream(stream);
         self.pending_acks.remove(proxy);
+        self.meter.remove_proxy(proxy);
         self.reports.remove_proxy(proxy);
         self.tables.remove_proxy(proxy);
         self.proxy_ids.release(proxy, now);
--- a/crates/stepspur-conductor/src/engine/discovery.rs
+++ b/crates/stepspur-conductor/src/engine/discovery.rs
@@ -15,6 +15,9 @@
         update: ListUpdate,
         entries: Vec<DiscoveredEndpoint>,
     ) {
+        if update != ListUpdate::Failed {
+            self.meter.record_list_change(now);
+        }
         let change = self.endpoints.merge(now, update, entries);
         for server in change.possibly_ejected {
             self.tables.mark_possibly_ejected(server);
--- a/crates/stepspur-conductor/src/engine/dispatch.rs
+++ b/crates/stepspur-conductor/src/engine/dispatch.rs
@@ -80,6 +80,7 @@
             channel: self.channel.depth(),
             pending_acks: self.pending_acks.len(),
             pending_reports: self.reports.len(),
+            traffic: self.meter.stats(self.policy.lines_in_flight()),
             ..self.stats.clone()
         }
     }
--- a/crates/stepspur-conductor/src/engine/frames.rs
+++ b/crates/stepspur-conductor/src/engine/frames.rs
@@ -62,6 +62,7 @@
     /// microseconds; if it is `None`, the time since the update was sent is used.
     fn acknowledge(&mut self, now: Micros, proxy: ProxyId, nonce: u32, latency: Option<Micros>) -> bool {
         let Some(since_sent) = self.pending_acks.acknowledge(proxy, nonce, now) else { return false };
+        self.meter.record_acknowledgement(now, proxy, nonce);
         let latency = latency.unwrap_or(since_sent);
         self.batch.push(Event::Acknowledged { proxy, nonce, latency });
         true
--- a/crates/stepspur-conductor/src/engine/mod.rs
+++ b/crates/stepspur-conductor/src/engine/mod.rs
@@ -14,11 +14,12 @@
 //! - `endpoints`, `mass_removal_guard`, `server_ids`, `proxy_ids`, `streams`, `pending_probes`: state of
 //!   servers and proxies.
 //! - `tables`, `proxy_update`, `protocol`, `framed_protocol`, `channel`, `acks`: convert the decision
-//!   module's actions into frames, pace them and track their acknowledgements.
+//!   module's actions into frames, pace them and track their acknowledgements. `channel_stats` measures them.
 //! - `report_aggregator`: sums load reports between decisions.
 
 mod acks;
 mod channel;
+mod channel_stats;
 mod connect;
 mod discovery;
 mod dispatch;
@@ -45,6 +46,7 @@
 mod tables;
 
 pub use channel::ChannelDepth;
+pub use channel_stats::{ChannelStats, SentLines};
 pub use framed_protocol::FramedProtocol;
 pub use input::{DiscoveredEndpoint, Input, ProbeTarget, RequestCounts, StreamId};
 pub use operation::{Operation, OperationError, OverrideState};
--- a/crates/stepspur-conductor/src/engine/output.rs
+++ b/crates/stepspur-conductor/src/engine/output.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use stepspur_proto::v1;
 
+use super::channel_stats::ChannelStats;
 use super::input::{ProbeTarget, StreamId};
 
 /// An action that the engine requests from its caller.
@@ -90,6 +91,8 @@
     },
     /// The source of the endpoint list failed; the previous list remains in use.
     DiscoveryFailed,
+    /// Lines sent to proxies since the engine's start; every five seconds while any are sent.
+    ChannelSummary(ChannelStats),
 }
 
 impl LogEvent {
--- a/crates/stepspur-conductor/src/engine/schedule.rs
+++ b/crates/stepspur-conductor/src/engine/schedule.rs
@@ -90,8 +90,19 @@
             Action::RequestAck { nonce } => Some(*nonce),
             _ => None,
         });
-        self.policy.record_messages(nonce, self.message_lines(&updates));
+        let messages = self.message_lines(&updates);
+        self.meter.record_decision(nonce, messages.keys().copied().collect());
+        self.policy.record_messages(nonce, messages);
         self.enqueue_updates(now, updates);
+        self.log_channel_summary(now);
+    }
+
+    /// Logs what was sent, if a summary is due.
+    fn log_channel_summary(&mut self, now: Micros) {
+        if self.meter.take_due_summary(now) {
+            let stats = self.meter.stats(self.policy.lines_in_flight());
+            self.log(LogEvent::ChannelSummary(stats));
+        }
     }
 
     /// Returns the lines of the messages that these updates are sent as, with their overhead, by recipient.
@@ -161,6 +172,7 @@
         let window = micros(self.config.channel.message_window);
         for proxy in recipients {
             let Some(write) = self.streams.record_write(proxy, now, window) else { continue };
+            self.meter.record_message(&update, self.config.channel.message_head);
             let peak = self.stats.max_messages_in_window.max(write.messages_in_window);
             self.stats.max_messages_in_window = peak;
             self.channel.push(Message {
--- a/crates/stepspur-conductor/src/engine/state.rs
+++ b/crates/stepspur-conductor/src/engine/state.rs
@@ -9,6 +9,7 @@
 
 use super::acks::PendingAcks;
 use super::channel::Channel;
+use super::channel_stats::ChannelMeter;
 use super::endpoints::EndpointStore;
 use super::framed_protocol::FramedProtocol;
 use super::output::{LogEvent, Output};
@@ -42,6 +43,7 @@
     pub(super) tables: Tables,
     pub(super) protocol: Box<dyn ProxyProtocol>,
     pub(super) channel: Channel,
+    pub(super) meter: ChannelMeter,
     pub(super) reports: ReportAggregator,
     pub(super) pending_acks: PendingAcks,
     /// When the engine last ran its scheduled work. A long gap shows that its process was suspended.
@@ -101,6 +103,7 @@
             endpoints: EndpointStore::new(config.fleet.zones.clone(), mass_removal_guard, now),
             probes: PendingProbes::default(),
             channel: Channel::new(config.channel.lines_per_s),
+            meter: ChannelMeter::default(),
             reports: ReportAggregator::new(config.reports.intake_per_s, report_period, now),
             pending_acks: PendingAcks::default(),
             last_run_at: now,
--- a/crates/stepspur-conductor/src/engine/stats.rs
+++ b/crates/stepspur-conductor/src/engine/stats.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::channel::ChannelDepth;
+use super::channel_stats::ChannelStats;
 
 /// Statistics of an engine: current sizes, and counts since its start. The status page prints them as JSON
 /// under the serialized names.
@@ -52,6 +53,9 @@
     pub closed_streams: u64,
     /// Number of events passed to the decision module.
     pub events: u64,
+    /// Lines sent to proxies, by kind; in the log, not on the status page.
+    #[serde(skip)]
+    pub traffic: ChannelStats,
 }
 
 /// Number of servers of the endpoint list, by state. Serialized as an array in the order of the fields.
--- a/crates/stepspur-conductor/src/service/engine_log.rs
+++ b/crates/stepspur-conductor/src/service/engine_log.rs
@@ -1,6 +1,6 @@
 //! Writes the engine's log events to the process log.
 
-use crate::engine::LogEvent;
+use crate::engine::{ChannelStats, LogEvent};
 
 /// Writes one event, with the epoch of the engine that emitted it.
 pub(super) fn write(event: LogEvent, epoch: u64) {
@@ -30,6 +30,27 @@
         LogEvent::MassRemovalSuspected { missing, listed } => {
             tracing::warn!(event = "mass_removal_suspected", epoch, lacking = missing, named = listed);
         }
+        LogEvent::ChannelSummary(stats) => write_channel_summary(&stats, epoch),
         LogEvent::DiscoveryFailed => tracing::warn!(event = "discovery_failed", epoch),
     }
 }
+
+/// Writes the size of the traffic to proxies; counts are since the engine's start.
+fn write_channel_summary(stats: &ChannelStats, epoch: u64) {
+    let ChannelStats { lines_in_flight, sent, longest_message, longest_table, slowest_list_change } = stats;
+    tracing::info!(
+        event = "channel_summary",
+        epoch,
+        lines_in_flight,
+        weights = sent.weights,
+        ejections = sent.ejections,
+        restores = sent.restores,
+        levels = sent.levels,
+        complete_tables = sent.complete_tables,
+        nonces = sent.nonces,
+        overhead = sent.overhead,
+        longest_message,
+        longest_table,
+        slowest_list_change_ms = slowest_list_change / 1000
+    );
+}
